--- /dev/null
+++ b/admission.go
@@ -0,0 +1,81 @@
+package cicadacross
+
+import (
+	"context"
+	"time"
+)
+
+// Load is what the owner of a target reports about it.
+type Load struct {
+	// InProgress counts the requests that hold a slot.
+	InProgress int
+	// Queued counts the requests that wait for a slot.
+	Queued int
+	// Slots counts the slots of the target.
+	Slots int
+	// Draining reports that the target takes no new work.
+	Draining bool
+}
+
+// WorkOptions lists what admission knows of a request.
+type WorkOptions struct {
+	RequestID string
+	// Kind is the name of the route.
+	Kind       string
+	Rank       Rank
+	Deadline   time.Time
+	Repeatable bool
+	// Cancel ends the request while it is in progress, so that more urgent work gets its slot; nil when it can't be ended.
+	Cancel func()
+}
+
+// Work is one request that asks for a slot.
+type Work struct {
+	opts WorkOptions
+}
+
+// NewWork returns a request for a slot.
+func NewWork(opts WorkOptions) Work { return Work{opts: opts} }
+
+// RequestID returns the identity of the request, for logs.
+func (w Work) RequestID() string { return w.opts.RequestID }
+
+// Kind returns the name of the route.
+func (w Work) Kind() string { return w.opts.Kind }
+
+// Rank returns the rank of the request.
+func (w Work) Rank() Rank { return w.opts.Rank }
+
+// Deadline returns the time at which the answer is of no more use.
+func (w Work) Deadline() time.Time { return w.opts.Deadline }
+
+// Repeatable reports whether the request may run more than once.
+func (w Work) Repeatable() bool { return w.opts.Repeatable }
+
+// Cancel returns the function that ends the request while in progress, or nil.
+func (w Work) Cancel() func() { return w.opts.Cancel }
+
+// Admission owns the slots of one target. Implementations are safe for concurrent use.
+type Admission interface {
+	// Acquire waits for a slot. It returns an error when the request is refused or ctx ends; the request then didn't run.
+	Acquire(ctx context.Context, w Work) (Slot, error)
+	// Load returns the present load.
+	Load() Load
+	// Resize changes the number of slots; requests in progress keep theirs.
+	Resize(slots int)
+}
+
+// Slot is the right to run one request on the target.
+type Slot interface {
+	// Release gives the slot back. Only the first call has an effect.
+	Release()
+}
+
+// AdmissionOptions configures an admission policy.
+type AdmissionOptions struct {
+	Slots    int
+	MaxQueue int
+	Timers   Timers
+	// LeastUrgent is the urgency number of the least urgent rank; 0 means unknown.
+	LeastUrgent int
+}
--- /dev/null
+++ b/cmd/cicadacross/main.go
@@ -0,0 +1,4 @@
+// Command cicadacross is the operator's command.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/cicadacrossd/main.go
@@ -0,0 +1,4 @@
+// Command cicadacrossd is the daemon that runs on each upstream host.
+package main
+
+func main() {}
--- /dev/null
+++ b/configuration.go
@@ -0,0 +1,160 @@
+package cicadacross
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// ConfigurationOptions lists the content of a configuration. The slices must not change afterwards.
+type ConfigurationOptions struct {
+	Version Version
+	Targets []Target
+	Ranks   []Rank
+	Routes  []Route
+	// Leaving lists the hosts that receive no new work.
+	Leaving []string
+	// PartDigests maps each part's name to its digest.
+	PartDigests map[string]string
+}
+
+// Configuration is one immutable, validated configuration. It is safe for concurrent use.
+type Configuration struct {
+	version  Version
+	services map[string]*Service
+	hosts    map[string]Target
+	ranks    map[string]Rank
+	leaving  map[string]bool
+	parts    map[string]string
+}
+
+// Service is a set of targets and routes under one name.
+type Service struct {
+	name    string
+	targets []Target
+	routes  []Route
+}
+
+// NewConfiguration builds the indexes of a configuration. It doesn't validate, which is the work of the register.
+func NewConfiguration(opts ConfigurationOptions) *Configuration {
+	c := &Configuration{
+		version:  opts.Version,
+		services: make(map[string]*Service),
+		hosts:    make(map[string]Target, len(opts.Targets)),
+		ranks:    make(map[string]Rank, len(opts.Ranks)),
+		leaving:  make(map[string]bool, len(opts.Leaving)),
+		parts:    maps.Clone(opts.PartDigests),
+	}
+	for _, t := range opts.Targets {
+		s := c.serviceFor(t.Service())
+		s.targets = append(s.targets, t)
+		c.hosts[t.Host()] = t
+	}
+	for _, r := range opts.Routes {
+		s := c.serviceFor(r.Service())
+		s.routes = append(s.routes, r)
+	}
+	for _, s := range c.services {
+		slices.SortFunc(s.targets, func(a, b Target) int { return cmp.Compare(a.Name(), b.Name()) })
+		slices.SortStableFunc(s.routes, compareRoutes)
+	}
+	for _, r := range opts.Ranks {
+		c.ranks[r.Name()] = r
+	}
+	for _, h := range opts.Leaving {
+		c.leaving[h] = true
+	}
+	return c
+}
+
+func (c *Configuration) serviceFor(name string) *Service {
+	s, ok := c.services[name]
+	if !ok {
+		s = &Service{name: name}
+		c.services[name] = s
+	}
+	return s
+}
+
+// compareRoutes puts the longest prefix first, and a route with a method before one without.
+func compareRoutes(a, b Route) int {
+	if c := cmp.Compare(len(b.PathPrefix()), len(a.PathPrefix())); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(len(b.Method()), len(a.Method())); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Name(), b.Name())
+}
+
+// Version returns the version of the configuration.
+func (c *Configuration) Version() Version { return c.version }
+
+// Service returns the service with the name, or nil and false when the configuration has none.
+func (c *Configuration) Service(name string) (*Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Services returns all services, sorted by name.
+func (c *Configuration) Services() []*Service {
+	list := slices.Collect(maps.Values(c.services))
+	slices.SortFunc(list, func(a, b *Service) int { return cmp.Compare(a.name, b.name) })
+	return list
+}
+
+// TargetOn returns the target on the host, or false when the register has none there.
+func (c *Configuration) TargetOn(host string) (Target, bool) {
+	t, ok := c.hosts[host]
+	return t, ok
+}
+
+// Targets returns all targets, sorted by host.
+func (c *Configuration) Targets() []Target {
+	list := slices.Collect(maps.Values(c.hosts))
+	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.Host(), b.Host()) })
+	return list
+}
+
+// Rank returns the rank with the name.
+func (c *Configuration) Rank(name string) (Rank, bool) {
+	r, ok := c.ranks[name]
+	return r, ok
+}
+
+// Ranks returns all ranks, the most urgent first.
+func (c *Configuration) Ranks() []Rank {
+	list := slices.Collect(maps.Values(c.ranks))
+	slices.SortFunc(list, func(a, b Rank) int {
+		return cmp.Or(cmp.Compare(a.Urgency(), b.Urgency()), cmp.Compare(a.Name(), b.Name()))
+	})
+	return list
+}
+
+// Leaving reports whether the rules say that the host receives no new work.
+func (c *Configuration) Leaving(host string) bool { return c.leaving[host] }
+
+// LeavingHosts returns the hosts that receive no new work, sorted.
+func (c *Configuration) LeavingHosts() []string { return slices.Sorted(maps.Keys(c.leaving)) }
+
+// PartDigest returns the digest of the named part, or "" when there is none.
+func (c *Configuration) PartDigest(name string) string { return c.parts[name] }
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return s.name }
+
+// Targets returns the targets, sorted by name. The caller must not change the slice.
+func (s *Service) Targets() []Target { return s.targets }
+
+// Routes returns the routes in the order in which they are tried. The caller must not change the slice.
+func (s *Service) Routes() []Route { return s.routes }
+
+// Route returns the route for a request: the longest matching path prefix, and among equals the one with a method.
+func (s *Service) Route(method, path string) (Route, bool) {
+	for _, r := range s.routes {
+		if r.Matches(method, path) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
--- /dev/null
+++ b/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration holds the tests that run the real binaries as separate processes.
+package integration
--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,61 @@
+// Package kernel holds the registries in which implementations of the root package's interfaces register themselves.
+package kernel
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+
+	"cicadacross"
+)
+
+// AdmissionFactory builds an admission policy for one target.
+type AdmissionFactory func(cicadacross.AdmissionOptions) cicadacross.Admission
+
+// BalancerFactory builds a balancer.
+type BalancerFactory func(cicadacross.BalancerOptions) cicadacross.Balancer
+
+// SourceFactory builds a source that reads the platform's service at the address, as IP:port.
+type SourceFactory func(address string) (cicadacross.Source, error)
+
+// The registries, one for each interface. Implementations add themselves in their init functions.
+var (
+	Admissions = NewRegistry[AdmissionFactory]("admission policy")
+	Balancers  = NewRegistry[BalancerFactory]("balancer")
+	Sources    = NewRegistry[SourceFactory]("source")
+)
+
+// Registry maps names to factories of one kind. It is safe for concurrent use.
+type Registry[F any] struct {
+	what      string
+	mu        sync.Mutex
+	factories map[string]F
+}
+
+// NewRegistry returns an empty registry; what names the kind of its entries in error messages.
+func NewRegistry[F any](what string) *Registry[F] {
+	return &Registry[F]{what: what, factories: make(map[string]F)}
+}
+
+// Register adds a factory. It panics when the name is taken, since that is a fault of the program.
+func (r *Registry[F]) Register(name string, factory F) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, taken := r.factories[name]; taken {
+		panic(fmt.Sprintf("kernel: %s %q registered twice", r.what, name))
+	}
+	r.factories[name] = factory
+}
+
+// Lookup returns the factory with the name. The error lists the names that exist.
+func (r *Registry[F]) Lookup(name string) (F, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	factory, ok := r.factories[name]
+	if !ok {
+		names := slices.Sorted(maps.Keys(r.factories))
+		return factory, newError("lookup", KindUnknownName, "unknown %s %q; known: %v", r.what, name, names)
+	}
+	return factory, nil
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,42 @@
+package cicadacross
+
+// Outcome says what is known about the execution of a request. The zero value is OutcomeUnknown, the only one that is
+// safe to assume.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeDone means that the request ran and its whole answer is at hand.
+	OutcomeDone
+	// OutcomeNotRun means that no upstream was called.
+	OutcomeNotRun
+)
+
+// String returns the value of the X-Mesh-Outcome header.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "not-run"
+	case OutcomeUnknown:
+		return "unknown"
+	}
+	return "unknown"
+}
+
+// The headers between callers and daemons.
+const (
+	HeaderOutcome        = "X-Mesh-Outcome"
+	HeaderEarlier        = "X-Mesh-Earlier"
+	HeaderReason         = "X-Mesh-Reason"
+	HeaderTimeout        = "X-Mesh-Timeout"
+	HeaderRank           = "X-Mesh-Rank"
+	HeaderRequestID      = "X-Mesh-Request-Id"
+	HeaderDepth          = "X-Mesh-Depth"
+	HeaderDraining       = "X-Mesh-Draining"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderInternalPrefix = "X-Mesh-Internal-"
+)
--- /dev/null
+++ b/source.go
@@ -0,0 +1,41 @@
+package cicadacross
+
+import "context"
+
+// The keys of the platform's service.
+const (
+	KeyManifest   = "manifest"
+	KeyHosts      = "hosts"
+	KeyPartPrefix = "parts/"
+)
+
+// MaxValueSize is the largest value that the platform's service holds, in bytes.
+const MaxValueSize = 1 << 20
+
+// Revision counts the writes to the platform's service. It only says whether a value changed since the last read;
+// it doesn't order configurations, since a rebuilt platform starts at 1 again.
+type Revision uint64
+
+// Value is one value of the platform's service.
+type Value struct {
+	data     []byte
+	revision Revision
+}
+
+// NewValue returns a value. The caller must not change data afterwards.
+func NewValue(data []byte, revision Revision) Value { return Value{data: data, revision: revision} }
+
+// Data returns the bytes, which the caller must not change.
+func (v Value) Data() []byte { return v.data }
+
+// Revision returns the revision of the last write of the value.
+func (v Value) Revision() Revision { return v.revision }
+
+// Source reads the platform's service. Implementations are safe for concurrent use.
+type Source interface {
+	// Get returns the present value of the key.
+	Get(ctx context.Context, key string) (Value, error)
+	// Watch waits until the revision of the key is greater than after, or until the service ends the wait, and returns
+	// the present value, which may be unchanged.
+	Watch(ctx context.Context, key string, after Revision) (Value, error)
+}
--- /dev/null
+++ b/target.go
@@ -0,0 +1,57 @@
+package cicadacross
+
+// TargetOptions lists the fields of a target as the register gives them. Addresses are IP:port.
+type TargetOptions struct {
+	Name             string
+	Service          string
+	Host             string
+	Region           string
+	AvailabilityZone string
+	Upstream         string
+	Peer             string
+	Caller           string
+	Operator         string
+	Slots            int
+	Connections      int
+}
+
+// Target is one upstream of a service together with the daemon on its host.
+type Target struct {
+	opts TargetOptions
+}
+
+// NewTarget returns a target; it doesn't validate, which is the work of the register.
+func NewTarget(opts TargetOptions) Target { return Target{opts: opts} }
+
+// Name returns the name of the target, unique within its service.
+func (t Target) Name() string { return t.opts.Name }
+
+// Service returns the name of the service that the target belongs to.
+func (t Target) Service() string { return t.opts.Service }
+
+// Host returns the name of the host, unique within the register.
+func (t Target) Host() string { return t.opts.Host }
+
+// Region returns the region of the host.
+func (t Target) Region() string { return t.opts.Region }
+
+// AvailabilityZone returns the availability zone of the host.
+func (t Target) AvailabilityZone() string { return t.opts.AvailabilityZone }
+
+// Upstream returns the address of the upstream, as IP:port.
+func (t Target) Upstream() string { return t.opts.Upstream }
+
+// Peer returns the address at which the daemon of the host serves other daemons, as IP:port.
+func (t Target) Peer() string { return t.opts.Peer }
+
+// Caller returns the address at which the daemon of the host serves callers, as IP:port.
+func (t Target) Caller() string { return t.opts.Caller }
+
+// Operator returns the address at which the daemon of the host serves operators, as IP:port.
+func (t Target) Operator() string { return t.opts.Operator }
+
+// Slots returns how many requests the upstream runs at once, at least 1.
+func (t Target) Slots() int { return t.opts.Slots }
+
+// Connections returns how many connections the upstream accepts, at least 1.
+func (t Target) Connections() int { return t.opts.Connections }
