--- a/quarantine.go
+++ b/quarantine.go
@@ -16,7 +16,8 @@
 	Host string
 }
 
-// Quarantine keeps requests that crash upstreams from reaching more of them. Implementations are safe for concurrent use.
+// Quarantine keeps requests that crash upstreams from reaching more of them. Implementations are safe for concurrent
+// use.
 type Quarantine interface {
 	// Enter counts a request as in progress on the local upstream until leave is called. It returns an error when the
 	// fingerprint is quarantined. A suspect waits until it can run alone.
