--- a/cmd/cicadacrossd/main.go
+++ b/cmd/cicadacrossd/main.go
@@ -1,4 +1,45 @@
 // Command cicadacrossd is the daemon that runs on each upstream host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"cicadacross/internal/daemon"
+)
+
+func main() {
+	var settings daemon.Settings
+	command := &cli.Command{
+		Name:  "cicadacrossd",
+		Usage: "takes the published configuration and sends every request to an upstream that can serve it",
+		Flags: settings.Flags(),
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			return run(ctx, settings)
+		},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "cicadacrossd:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until ctx ends and then shuts the daemon down gracefully.
+func run(ctx context.Context, settings daemon.Settings) error {
+	d, err := daemon.New(settings, daemon.Options{Log: os.Stderr})
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return d.Shutdown(context.Background())
+}
--- /dev/null
+++ b/integration/harness/fleet.go
@@ -0,0 +1,316 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The ports of a host. Every host of every test has an IP address of its own in 127.0.0.0/8.
+const (
+	callerPort   = 8080
+	peerPort     = 8081
+	operatorPort = 8082
+	upstreamPort = 8083
+	// entrancePort is where other daemons reach the peer port, behind the fault-injecting network.
+	entrancePort = 8084
+	platformPort = 8085
+)
+
+// FleetKey is the fleet key of all test fleets.
+const FleetKey = "integration-test-key"
+
+// Service is the name of the service that all targets of a test fleet belong to.
+const Service = "store"
+
+// Options describes a test fleet. The zero value is a fleet of two availability zones with two hosts each.
+type Options struct {
+	Zones        int
+	HostsPerZone int
+	Slots        int
+	// Seeds is how many hosts of each zone are seeds; 0 means one.
+	Seeds int
+	// DaemonFlags are added to the flags of every daemon.
+	DaemonFlags []string
+	// UpstreamFlags are added to the flags of every upstream stand-in.
+	UpstreamFlags []string
+	// Unpublished leaves the platform empty at the start.
+	Unpublished bool
+}
+
+func (o Options) withDefaults() Options {
+	if o.Zones == 0 {
+		o.Zones = 2
+	}
+	if o.HostsPerZone == 0 {
+		o.HostsPerZone = 2
+	}
+	if o.Slots == 0 {
+		o.Slots = 4
+	}
+	if o.Seeds == 0 {
+		o.Seeds = 1
+	}
+	return o
+}
+
+// Host is one host of a test fleet with its daemon and its upstream.
+type Host struct {
+	fleet    *Fleet
+	name     string
+	zone     string
+	ip       string
+	Daemon   *Process
+	Upstream *Process
+}
+
+// Fleet is a test fleet of real processes.
+type Fleet struct {
+	t        testing.TB
+	options  Options
+	prefix   string
+	network  *Network
+	Platform *Process
+	hosts    []*Host
+	zones    []string
+}
+
+// fleets counts the fleets of this test binary, so that each has addresses of its own.
+var fleets atomic.Uint32
+
+// addressPrefix returns the first three numbers of the addresses of a new fleet. It depends on the process id, so that
+// test binaries that run at the same time don't meet.
+func addressPrefix() string {
+	const low, span = 16, 200
+	return fmt.Sprintf("127.%d.%d", low+os.Getpid()%span, low+fleets.Add(1)%span)
+}
+
+// NewFleet starts a platform, upstreams and daemons, and waits until all daemons are ready unless Unpublished is set.
+func NewFleet(t testing.TB, options Options) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, options: options.withDefaults(), prefix: addressPrefix(), network: NewNetwork(t)}
+	f.place()
+	f.startPlatform()
+	for _, h := range f.hosts {
+		h.StartUpstream()
+	}
+	if !f.options.Unpublished {
+		f.Publish(1, "")
+	}
+	for _, h := range f.hosts {
+		h.StartDaemon()
+	}
+	if !f.options.Unpublished {
+		const start = 15 * time.Second
+		Eventually(t, start, "all daemons are ready", func() bool { return f.AllAt(1) })
+	}
+	return f
+}
+
+// place gives names, zones and addresses to the hosts and builds the network between them.
+func (f *Fleet) place() {
+	const firstHostNumber = 10
+	for z := range f.options.Zones {
+		f.zones = append(f.zones, fmt.Sprintf("zone-%c", 'a'+z))
+	}
+	for z, zone := range f.zones {
+		for i := range f.options.HostsPerZone {
+			number := z*f.options.HostsPerZone + i
+			h := &Host{fleet: f, name: fmt.Sprintf("%s-%d", zone, i+1), zone: zone}
+			h.ip = fmt.Sprintf("%s.%d", f.prefix, firstHostNumber+number)
+			f.hosts = append(f.hosts, h)
+			f.network.Place(h.ip, zone)
+		}
+	}
+	for _, h := range f.hosts {
+		f.network.Entrance(h.address(entrancePort), h.address(peerPort), f.zones)
+	}
+	for _, zone := range f.zones {
+		f.network.addLink(zone, f.platformAddress())
+	}
+}
+
+func (f *Fleet) platformAddress() string { return fmt.Sprintf("%s.1:%d", f.prefix, platformPort) }
+
+func (h *Host) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
+
+// Name returns the name of the host.
+func (h *Host) Name() string { return h.name }
+
+// Zone returns the availability zone of the host.
+func (h *Host) Zone() string { return h.zone }
+
+// Hosts returns all hosts, or those of one zone when zone is not empty.
+func (f *Fleet) Hosts(zone string) []*Host {
+	var hosts []*Host
+	for _, h := range f.hosts {
+		if zone == "" || h.zone == zone {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// Host returns the host with the name.
+func (f *Fleet) Host(name string) *Host {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	f.t.Fatalf("no host %q", name)
+	return nil
+}
+
+// Zones returns the names of the availability zones.
+func (f *Fleet) Zones() []string { return f.zones }
+
+// Network returns the network between the processes.
+func (f *Fleet) Network() *Network { return f.network }
+
+// PlatformLink returns the link from the zone to the platform.
+func (f *Fleet) PlatformLink(zone string) *Link { return f.network.Link(zone, f.platformAddress()) }
+
+// CutZone cuts the zone off from the daemons of all other zones, in both directions, and from the platform when
+// platform is set.
+func (f *Fleet) CutZone(zone string, platform bool) { f.eachLinkAcross(zone, platform, (*Link).Cut) }
+
+// HealZone undoes CutZone.
+func (f *Fleet) HealZone(zone string) { f.eachLinkAcross(zone, true, (*Link).Heal) }
+
+func (f *Fleet) eachLinkAcross(zone string, platform bool, apply func(*Link)) {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		for _, from := range f.zones {
+			if from != h.zone && (from == zone || h.zone == zone) {
+				apply(f.network.Link(from, h.address(peerPort)))
+			}
+		}
+	}
+	if platform {
+		apply(f.PlatformLink(zone))
+	}
+}
+
+// Register returns the register of the fleet as CSV.
+func (f *Fleet) Register() string {
+	var b strings.Builder
+	b.WriteString("service,target,host,region,availability_zone,upstream,peer,caller,operator,slots,connections\n")
+	for _, h := range f.hosts {
+		fmt.Fprintf(&b, "%s,%s-target,%s,region-1,%s,%s,%s,%s,%s,%d,100\n", Service, h.name, h.name, h.zone,
+			h.address(upstreamPort), h.address(entrancePort), h.address(callerPort), h.address(operatorPort),
+			f.options.Slots)
+	}
+	return b.String()
+}
+
+// Rules returns rules with the version number; extra is appended.
+func (f *Fleet) Rules(version uint64, extra string) string {
+	return fmt.Sprintf(rulesTemplate, version, Service) + extra
+}
+
+const rulesTemplate = `version = %[1]d
+
+[[rank]]
+name = "urgent"
+urgency = 1
+target = "300ms"
+worth = 100
+
+[[rank]]
+name = "normal"
+urgency = 2
+target = "1s"
+worth = 10
+
+[[rank]]
+name = "bulk"
+urgency = 3
+target = "10s"
+worth = 1
+
+[[route]]
+name = "confirm"
+service = "%[2]s"
+method = "POST"
+path = "/confirm"
+rank = "urgent"
+repeatable = false
+timeout = "2s"
+
+[[route]]
+name = "upload"
+service = "%[2]s"
+method = "PUT"
+path = "/upload"
+rank = "bulk"
+repeatable = true
+timeout = "30s"
+
+[[route]]
+name = "read"
+service = "%[2]s"
+path = "/"
+rank = "normal"
+repeatable = true
+timeout = "2s"
+`
+
+// StartDaemon starts the daemon of the host.
+func (h *Host) StartDaemon() {
+	h.fleet.t.Helper()
+	f := h.fleet
+	var seeds []string
+	for _, zone := range f.zones {
+		for _, seed := range f.Hosts(zone)[:f.options.Seeds] {
+			if seed != h {
+				seeds = append(seeds, seed.address(entrancePort))
+			}
+		}
+	}
+	flags := []string{
+		"--host=" + h.name, "--availability-zone=" + h.zone,
+		"--listen-caller=" + h.address(callerPort), "--listen-peer=" + h.address(peerPort),
+		"--advertise-peer=" + h.address(entrancePort), "--listen-operator=" + h.address(operatorPort),
+		"--platform=" + f.PlatformLink(h.zone).proxy.Listen, "--upstream=" + h.address(upstreamPort),
+		"--seeds=" + strings.Join(seeds, ","), "--decision-lines=10000",
+	}
+	h.Daemon = Start(f.t, "daemon "+h.name, Daemon, []string{"CICADACROSS_FLEET_KEY=" + FleetKey},
+		append(flags, f.options.DaemonFlags...)...)
+}
+
+// Request sends a request to the daemon of the host and returns the whole answer.
+func (h *Host) Request(ctx context.Context, method, path, body string, header map[string]string) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.address(callerPort)+path, strings.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	request.Host = Service
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: string(data)}, err
+}
+
+// Answer is the answer to a request.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+}
--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,201 @@
+// Package daemon assembles the parts of one daemon from its settings, starts them and shuts them down.
+package daemon
+
+import (
+	"errors"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cicadacross/internal/peer"
+)
+
+// The ways in which daemons read the source.
+const (
+	// ReadersZone lets a few daemons of each availability zone watch the source.
+	ReadersZone = "zone"
+	// ReadersAll lets every daemon watch the source; it is the baseline of the measurements.
+	ReadersAll = "all"
+)
+
+// Settings are the settings of one daemon, given by flags and environment variables.
+type Settings struct {
+	Host             string
+	AvailabilityZone string
+	ListenCaller     string
+	ListenPeer       string
+	ListenOperator   string
+	AdvertisePeer    string
+	Platform         string
+	Upstream         string
+	HealthPath       string
+	Seeds            []string
+	FleetKey         string
+	Admission        string
+	Balancer         string
+	Readers          string
+	LogLevel         string
+	MaxQueue         int
+	DecisionLines    int
+	RepeatWindow     time.Duration
+	DrainLimit       time.Duration
+}
+
+// The bounds of the numeric settings.
+const (
+	maxQueueLimit      = 100_000
+	maxDecisionLines   = 100_000
+	minRepeatWindow    = time.Second
+	maxRepeatWindow    = 24 * time.Hour
+	defaultMaxQueue    = 1_000
+	defaultDecisions   = 100
+	defaultWindow      = 10 * time.Minute
+	environmentPrefix  = "CICADACROSS_"
+	longestHostSetting = 253
+)
+
+// Flags returns the command-line flags that fill the settings. Each flag can be given as an environment variable, for
+// example --listen-peer as CICADACROSS_LISTEN_PEER.
+func (s *Settings) Flags() []cli.Flag {
+	return []cli.Flag{
+		text("host", "name of this host in the register", "", &s.Host),
+		text("availability-zone", "availability zone of this host", "", &s.AvailabilityZone),
+		text("listen-caller", "IP:port on which callers are served", "", &s.ListenCaller),
+		text("listen-peer", "IP:port on which other daemons are served", "", &s.ListenPeer),
+		text("listen-operator", "IP:port on which operators are served", "", &s.ListenOperator),
+		text("advertise-peer", "IP:port at which other daemons reach this one (default: listen-peer)", "", &s.AdvertisePeer),
+		text("platform", "IP:port of the platform's service", "", &s.Platform),
+		text("upstream", "IP:port of the upstream on this host", "", &s.Upstream),
+		text("health-path", "path of the upstream's health endpoint (default: no probes)", "", &s.HealthPath),
+		&cli.StringSliceFlag{
+			Name: "seeds", Usage: "IP:port of daemons to ask first when starting",
+			Sources: cli.EnvVars(environmentName("seeds")), Destination: &s.Seeds,
+		},
+		text("fleet-key", "secret that all daemons share; give it as environment variable", "", &s.FleetKey),
+		text("admission", "admission policy: share, fifo or priority", "share", &s.Admission),
+		text("balancer", "choice of target: least or roundrobin", "least", &s.Balancer),
+		text("readers", "daemons that watch the source: zone (a few in each zone) or all", ReadersZone, &s.Readers),
+		text("log-level", "lowest level that is logged: debug, info, warn or error", "info", &s.LogLevel),
+		number("max-queue", "requests that may wait for a slot", defaultMaxQueue, &s.MaxQueue),
+		number("decision-lines", "routing decisions logged a second, the rest is counted", defaultDecisions,
+			&s.DecisionLines),
+		duration("repeat-window", "time within which a caller may repeat an idempotency key", defaultWindow,
+			&s.RepeatWindow),
+		duration("drain-limit", "longest wait for requests in progress on shutdown; 0 means no limit", 0, &s.DrainLimit),
+	}
+}
+
+func environmentName(flag string) string {
+	return environmentPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+func text(name, usage, value string, destination *string) cli.Flag {
+	return &cli.StringFlag{
+		Name: name, Usage: usage, Value: value,
+		Sources: cli.EnvVars(environmentName(name)), Destination: destination,
+	}
+}
+
+func number(name, usage string, value int, destination *int) cli.Flag {
+	return &cli.IntFlag{
+		Name: name, Usage: usage, Value: value,
+		Sources: cli.EnvVars(environmentName(name)), Destination: destination,
+	}
+}
+
+func duration(name, usage string, value time.Duration, destination *time.Duration) cli.Flag {
+	return &cli.DurationFlag{
+		Name: name, Usage: usage, Value: value,
+		Sources: cli.EnvVars(environmentName(name)), Destination: destination,
+	}
+}
+
+// Validate checks all settings and returns one error that names each bad or missing one, or nil. It fills
+// AdvertisePeer from ListenPeer when it is empty.
+func (s *Settings) Validate() error {
+	var check settingsCheck
+	check.name("host", s.Host)
+	check.name("availability-zone", s.AvailabilityZone)
+	check.address("listen-caller", s.ListenCaller)
+	check.address("listen-peer", s.ListenPeer)
+	check.address("listen-operator", s.ListenOperator)
+	if s.AdvertisePeer == "" {
+		s.AdvertisePeer = s.ListenPeer
+	}
+	check.address("advertise-peer", s.AdvertisePeer)
+	check.address("platform", s.Platform)
+	check.address("upstream", s.Upstream)
+	if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+		check.fault("health-path", "%q does not start with \"/\"", s.HealthPath)
+	}
+	for _, seed := range s.Seeds {
+		check.address("seeds", seed)
+	}
+	if len(s.FleetKey) < peer.MinKeyLength {
+		check.fault("fleet-key", "has %d bytes; give at least %d", len(s.FleetKey), peer.MinKeyLength)
+	}
+	check.oneOf("admission", s.Admission, "share", "fifo", "priority")
+	check.oneOf("balancer", s.Balancer, "least", "roundrobin")
+	check.oneOf("readers", s.Readers, ReadersZone, ReadersAll)
+	check.oneOf("log-level", s.LogLevel, "debug", "info", "warn", "error")
+	check.inRange("max-queue", s.MaxQueue, 1, maxQueueLimit)
+	check.inRange("decision-lines", s.DecisionLines, 0, maxDecisionLines)
+	if s.RepeatWindow < minRepeatWindow || s.RepeatWindow > maxRepeatWindow {
+		check.fault("repeat-window", "%s is not between %s and %s", s.RepeatWindow, minRepeatWindow, maxRepeatWindow)
+	}
+	if s.DrainLimit < 0 {
+		check.fault("drain-limit", "%s is below 0", s.DrainLimit)
+	}
+	return errors.Join(check.faults...)
+}
+
+// settingsCheck collects the faults of all settings, so that an operator mends them in one go.
+type settingsCheck struct {
+	faults []error
+}
+
+func (c *settingsCheck) fault(setting, format string, args ...any) {
+	format = "--" + setting + " (" + environmentName(setting) + "): " + format
+	c.faults = append(c.faults, newError("settings", KindSetting, format, args...))
+}
+
+func (c *settingsCheck) name(setting, value string) {
+	switch {
+	case value == "":
+		c.fault(setting, "is missing")
+	case len(value) > longestHostSetting:
+		c.fault(setting, "has %d bytes; at most %d are allowed", len(value), longestHostSetting)
+	case strings.TrimSpace(value) != value:
+		c.fault(setting, "%q begins or ends with white space", value)
+	}
+}
+
+func (c *settingsCheck) address(setting, value string) {
+	if value == "" {
+		c.fault(setting, "is missing; give IP:port")
+		return
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.fault(setting, "%q is not IP:port", value)
+		return
+	}
+	if address.Port() == 0 {
+		c.fault(setting, "%q has port 0", value)
+	}
+}
+
+func (c *settingsCheck) oneOf(setting, value string, known ...string) {
+	if !slices.Contains(known, value) {
+		c.fault(setting, "%q is unknown; give one of %s", value, strings.Join(known, ", "))
+	}
+}
+
+func (c *settingsCheck) inRange(setting string, value, low, high int) {
+	if value < low || value > high {
+		c.fault(setting, "%d is not between %d and %d", value, low, high)
+	}
+}
--- /dev/null
+++ b/internal/daemon/settings_test.go
@@ -0,0 +1,71 @@
+package daemon_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/urfave/cli/v3"
+	"gotest.tools/v3/assert"
+
+	"cicadacross/internal/daemon"
+)
+
+// parse returns the settings that the arguments give, and the error of their validation.
+func parse(t *testing.T, arguments ...string) (daemon.Settings, error) {
+	t.Helper()
+	var settings daemon.Settings
+	command := &cli.Command{
+		Name:  "cicadacrossd",
+		Flags: settings.Flags(),
+		Action: func(context.Context, *cli.Command) error {
+			return settings.Validate()
+		},
+	}
+	err := command.Run(context.Background(), append([]string{"cicadacrossd"}, arguments...))
+	return settings, err
+}
+
+func goodArguments() []string {
+	return []string{
+		"--host=h1", "--availability-zone=z1", "--listen-caller=127.0.0.1:8080", "--listen-peer=127.0.0.1:8081",
+		"--listen-operator=127.0.0.1:8082", "--platform=127.0.0.1:9000", "--upstream=127.0.0.1:9001",
+		"--fleet-key=0123456789abcdef",
+	}
+}
+
+func TestGoodSettings(t *testing.T) {
+	settings, err := parse(t, goodArguments()...)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.AdvertisePeer, "127.0.0.1:8081")
+	assert.Equal(t, settings.Admission, "share")
+}
+
+// Guards against a daemon that starts with a bad value of any setting, or whose error does not name the setting.
+func TestBadSettingIsNamed(t *testing.T) {
+	bad := map[string]string{
+		"host": "", "availability-zone": " z1", "listen-caller": "localhost:80", "listen-peer": "127.0.0.1",
+		"listen-operator": "127.0.0.1:0", "advertise-peer": "h1:1", "platform": "", "upstream": "127.0.0.1:99999",
+		"health-path": "health", "seeds": "nowhere", "fleet-key": "short", "admission": "lifo", "balancer": "random",
+		"readers": "none", "log-level": "loud", "max-queue": "0", "decision-lines": "-1", "repeat-window": "1ms",
+		"drain-limit": "-1s",
+	}
+	for _, flag := range new(daemon.Settings).Flags() {
+		name := flag.Names()[0]
+		value, listed := bad[name]
+		assert.Assert(t, listed, "no bad value for --%s", name)
+		arguments := slices.DeleteFunc(goodArguments(), func(a string) bool { return strings.HasPrefix(a, "--"+name+"=") })
+		_, err := parse(t, append(arguments, "--"+name+"="+value)...)
+		assert.ErrorContains(t, err, "--"+name)
+	}
+}
+
+// Guards against settings that only the command line can give.
+func TestSettingsFromEnvironment(t *testing.T) {
+	t.Setenv("CICADACROSS_FLEET_KEY", "abcdefghijklmnop")
+	arguments := slices.DeleteFunc(goodArguments(), func(a string) bool { return strings.HasPrefix(a, "--fleet-key") })
+	settings, err := parse(t, arguments...)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.FleetKey, "abcdefghijklmnop")
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,10 +4,13 @@
 import (
 	"context"
 	"crypto/subtle"
+	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -25,6 +28,10 @@
 	keepaliveTimeout = 3 * time.Second
 	keepaliveMinimum = 5 * time.Second
 
+	connectDelay    = 100 * time.Millisecond
+	maxConnectDelay = 2 * time.Second
+	connectTimeout  = time.Second
+
 	// maxMessage holds one value of the platform's service and its envelope.
 	maxMessage = 1<<20 + 1<<16
 )
@@ -87,20 +94,34 @@
 }
 
 // NewPool returns an empty pool whose calls carry the fleet key.
-func NewPool(fleetKey string) *Pool {
+func NewPool(fleetKey string, extra ...grpc.DialOption) *Pool {
 	return &Pool{
 		conns: make(map[string]*grpc.ClientConn),
-		options: []grpc.DialOption{
+		options: append([]grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithPerRPCCredentials(keyCredentials{key: fleetKey}),
 			grpc.WithDisableRetry(),
 			grpc.WithDisableServiceConfig(),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-		},
+			// After an outage a peer is tried again within the time in which it should converge.
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.Config{BaseDelay: connectDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxConnectDelay},
+				MinConnectTimeout: connectTimeout,
+			}),
+		}, extra...),
 	}
 }
 
+// From makes connections come from the IP address, so that peers and firewalls on hosts with several addresses see the
+// address that the register names.
+func From(ip netip.Addr) grpc.DialOption {
+	dialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))}
+	return grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	})
+}
+
 // Conn returns the connection to the address, as IP:port. It doesn't wait for the connection to be made.
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
