--- /dev/null
+++ b/internal/register/csv.go
@@ -0,0 +1,158 @@
+package register
+
+import (
+	"bytes"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// columns lists the columns of the register in the order in which asset registers export them.
+var columns = []string{
+	"service", "target", "host", "region", "availability_zone", "upstream", "peer", "caller", "operator", "slots",
+	"connections",
+}
+
+// readRegister reads the rows of the register.
+func (r *reader) readRegister(text []byte) {
+	rows := csv.NewReader(bytes.NewReader(text))
+	rows.FieldsPerRecord = -1
+	header, err := rows.Read()
+	if err != nil {
+		r.unread = true
+		if errors.Is(err, io.EOF) {
+			r.documentFault(r.register, 1, "", "the register is empty", "export it with the header "+strings.Join(columns, ","))
+			return
+		}
+		r.csvFault(err)
+		return
+	}
+	if !r.checkHeader(header) {
+		r.unread = true
+		return
+	}
+	for {
+		row, err := rows.Read()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			r.unread = true
+			r.csvFault(err)
+			continue
+		}
+		r.readRow(header, row, func(i int) int {
+			line, _ := rows.FieldPos(i)
+			return line
+		})
+	}
+}
+
+// csvFault reports a row that is not CSV; the rows after it are read on.
+func (r *reader) csvFault(err error) {
+	line := 0
+	var parse *csv.ParseError
+	if errors.As(err, &parse) {
+		line, err = parse.StartLine, parse.Err
+	}
+	r.documentFault(r.register, line, "", "the row is not valid CSV: "+err.Error(),
+		`put cells with quotes or commas in double quotes and write a quote as ""`)
+}
+
+// checkHeader trims the names of the columns in place and reports whether the rows can be read.
+func (r *reader) checkHeader(header []string) bool {
+	if len(header) == 1 && strings.ContainsAny(header[0], ";\t") {
+		r.documentFault(r.register, 1, "", "the columns are not separated by commas",
+			"export the register with commas as separators")
+		return false
+	}
+	good := true
+	refuse := func(column, message, remedy string) {
+		good = false
+		r.documentFault(r.register, 1, column, message, remedy)
+	}
+	seen := make(map[string]bool, len(header))
+	for i, cell := range header {
+		name := strings.TrimSpace(cell)
+		header[i] = name
+		switch {
+		case name == "" && i >= len(columns):
+			// Spreadsheets export empty columns at the end.
+		case !slices.Contains(columns, name):
+			refuse(name, "unknown column", suggest(name, columns, "remove the column"))
+		case seen[name]:
+			refuse(name, "the column appears twice", "remove one of them")
+		}
+		seen[name] = true
+	}
+	for _, column := range columns {
+		if !seen[column] {
+			refuse(column, "the column is missing", "add the column "+column)
+		}
+	}
+	return good
+}
+
+// readRow adds the target of one row. The function line returns the line of a cell.
+func (r *reader) readRow(header, row []string, line func(cell int) int) {
+	if !slices.ContainsFunc(row, func(cell string) bool { return strings.TrimSpace(cell) != "" }) {
+		return // Spreadsheets export empty rows at the end.
+	}
+	index := len(r.content.targets)
+	r.lines[place{section: sectionTarget, index: index}] = line(0)
+	for len(row) > len(header) && strings.TrimSpace(row[len(row)-1]) == "" {
+		row = row[:len(row)-1]
+	}
+	if len(row) != len(header) {
+		r.fault(place{section: sectionTarget, index: index},
+			fmt.Sprintf("the row has %d cells and the header %d", len(row), len(header)),
+			"add the missing cells or put cells with commas in double quotes")
+		r.unread = true
+		return
+	}
+	var t targetRecord
+	for i, column := range header {
+		p := place{section: sectionTarget, index: index, field: column}
+		r.lines[p] = line(i)
+		r.setCell(&t, p, strings.TrimSpace(row[i]))
+	}
+	r.content.targets = append(r.content.targets, t)
+}
+
+func (r *reader) setCell(t *targetRecord, p place, cell string) {
+	number := func() int {
+		n, err := strconv.Atoi(cell)
+		if err != nil {
+			r.fault(p, fmt.Sprintf("%q is not a whole number", cell), "write a number in digits")
+		}
+		return n
+	}
+	switch p.field {
+	case "service":
+		t.service = cell
+	case "target":
+		t.Target = cell
+	case "host":
+		t.Host = cell
+	case "region":
+		t.Region = cell
+	case "availability_zone":
+		t.AvailabilityZone = cell
+	case "upstream":
+		t.Upstream = cell
+	case "peer":
+		t.Peer = cell
+	case "caller":
+		t.Caller = cell
+	case "operator":
+		t.Operator = cell
+	case "slots":
+		t.Slots = number()
+	case "connections":
+		t.Connections = number()
+	}
+}
