--- a/internal/register/assemble.go
+++ b/internal/register/assemble.go
@@ -39,7 +39,7 @@
 		}
 		digests[p.name] = p.digest
 	}
-	if faults := validate(&c, c.locatePart); len(faults) > 0 {
+	if faults := validate(&c, c.locatePart, everything); len(faults) > 0 {
 		return nil, newError(op, KindInvalid, "%d faults, the first: %s", len(faults), faults[0])
 	}
 	// The order within the parts is part of the form, so that one content has one digest.
--- a/internal/register/csv.go
+++ b/internal/register/csv.go
@@ -23,7 +23,7 @@
 	rows.FieldsPerRecord = -1
 	header, err := rows.Read()
 	if err != nil {
-		r.unread = true
+		r.scope.targets, r.scope.references = false, false
 		if errors.Is(err, io.EOF) {
 			r.documentFault(r.register, 1, "", "the register is empty", "export it with the header "+strings.Join(columns, ","))
 			return
@@ -32,7 +32,7 @@
 		return
 	}
 	if !r.checkHeader(header) {
-		r.unread = true
+		r.scope.targets, r.scope.references = false, false
 		return
 	}
 	for {
@@ -41,7 +41,7 @@
 			return
 		}
 		if err != nil {
-			r.unread = true
+			r.scope.references = false
 			r.csvFault(err)
 			continue
 		}
@@ -111,7 +111,7 @@
 		r.fault(place{section: sectionTarget, index: index},
 			fmt.Sprintf("the row has %d cells and the header %d", len(row), len(header)),
 			"add the missing cells or put cells with commas in double quotes")
-		r.unread = true
+		r.scope.references = false
 		return
 	}
 	var t targetRecord
--- a/internal/register/document.go
+++ b/internal/register/document.go
@@ -23,16 +23,18 @@
 
 // Parse reads a register (CSV) and rules (TOML). It returns either a publication or all faults of both documents.
 func Parse(register, rules Document) (*Publication, Faults) {
-	r := &reader{register: register.name, rules: rules.name, lines: make(map[place]int)}
+	r := &reader{register: register.name, rules: rules.name, lines: make(map[place]int), scope: everything}
 	if text, ok := r.text(register); ok {
 		r.readRegister(text)
+	} else {
+		r.scope.targets = false
 	}
 	if text, ok := r.text(rules); ok {
 		r.readRules(text)
+	} else {
+		r.scope.rules = false
 	}
-	if !r.unread {
-		r.validateRead()
-	}
+	r.validateRead()
 	if len(r.faults) > 0 {
 		return nil, r.faults.sorted(register.name, rules.name)
 	}
@@ -51,8 +53,8 @@
 	content  content
 	lines    map[place]int
 	faults   Faults
-	// unread is set when a document could not be read as a whole, so that cross-references can't be checked.
-	unread bool
+	// scope leaves out what could not be read, so that no fault follows from another one.
+	scope scope
 }
 
 // place names a field of a record; an empty field means the whole record.
@@ -77,7 +79,8 @@
 // fault adds a fault of a field. A field has at most one fault, since a second one follows from the first.
 func (r *reader) fault(p place, message, remedy string) {
 	file, line := r.locate(p)
-	r.faults = append(r.faults, Fault{file: file, line: line, field: p.field, message: message, remedy: remedy})
+	r.faults = append(r.faults,
+		Fault{file: file, line: line, field: p.field, message: message, remedy: remedy, place: p})
 }
 
 func (r *reader) documentFault(file string, line int, field, message, remedy string) {
@@ -86,17 +89,12 @@
 
 // validateRead adds the validator's faults of the fields that could be read.
 func (r *reader) validateRead() {
-	type key struct {
-		file  string
-		line  int
-		field string
-	}
-	seen := make(map[key]bool, len(r.faults))
+	seen := make(map[place]bool, len(r.faults))
 	for _, f := range r.faults {
-		seen[key{f.file, f.line, f.field}] = true
+		seen[f.place] = true
 	}
-	for _, f := range validate(&r.content, r.locate) {
-		if !seen[key{f.file, f.line, f.field}] {
+	for _, f := range validate(&r.content, r.locate, r.scope) {
+		if !seen[f.place] {
 			r.faults = append(r.faults, f)
 		}
 	}
@@ -112,7 +110,7 @@
 func (r *reader) text(d Document) ([]byte, bool) {
 	const remedy = "save the file as UTF-8"
 	refuse := func(line int, message, remedy string) ([]byte, bool) {
-		r.unread = true
+		r.scope.references = false
 		r.documentFault(d.name, line, "", message, remedy)
 		return nil, false
 	}
--- a/internal/register/fault.go
+++ b/internal/register/fault.go
@@ -14,6 +14,7 @@
 	field   string
 	message string
 	remedy  string
+	place   place
 }
 
 // File returns the name of the document, or the name of the part when the fault is in a published part.
--- a/internal/register/parse_test.go
+++ b/internal/register/parse_test.go
@@ -201,6 +201,16 @@
 	})
 }
 
+// Guards against a row that can't be read and hides the faults of other rows, or causes faults that are none.
+func TestParseReportsFaultsBesideAnUnreadableRow(t *testing.T) {
+	csv := strings.NewReplacer("vault,v1", `va"ult,v1`, "west-b", "").Replace(goodRegister)
+	_, faults := parse(csv, strings.Replace(goodRules, "worth = 10", "worth = 0", 1))
+	assert.Equal(t, len(faults), 3, faults.String())
+	assert.Equal(t, faults[0].Field(), "availability_zone")
+	assert.Equal(t, faults[1].Line(), 4)
+	assert.Equal(t, faults[2].Field(), "worth")
+}
+
 // Guards against documents that are refused or rendered differently because of how a spreadsheet or editor wrote them.
 func TestParseAcceptsWhatSpreadsheetsWrite(t *testing.T) {
 	want := mustParse(t, goodRegister, goodRules)
--- a/internal/register/toml.go
+++ b/internal/register/toml.go
@@ -62,13 +62,13 @@
 	case errors.As(err, &unknown):
 		r.unknownKeys(unknown)
 	case errors.As(err, &syntax):
-		r.unread = true
+		r.scope.rules, r.scope.references = false, false
 		line, _ := syntax.Position()
 		r.documentFault(r.rules, line, strings.Join(syntax.Key(), "."), syntax.Error(),
 			"correct the line; tables are written [[rank]], [[route]] and [[leaving]]")
 		return
 	case err != nil:
-		r.unread = true
+		r.scope.rules, r.scope.references = false, false
 		r.documentFault(r.rules, 0, "", err.Error(), "correct the file")
 		return
 	}
@@ -119,9 +119,11 @@
 		name := strings.ToLower(path[0])
 		switch expression.Kind {
 		case unstable.ArrayTable, unstable.Table:
-			current = place{section: name, index: counts[name]}
-			counts[name]++
-			r.lines[current] = line
+			if len(path) == 1 {
+				current = place{section: name, index: counts[name]}
+				counts[name]++
+				r.lines[current] = line
+			}
 		case unstable.KeyValue:
 			r.lines[place{section: current.section, index: current.index, field: name}] = line
 		}
--- a/internal/register/validate.go
+++ b/internal/register/validate.go
@@ -17,24 +17,39 @@
 type validator struct {
 	content *content
 	locate  func(place) (file string, line int)
+	scope   scope
 	faults  Faults
 	fold    cases.Caser
 }
 
-// validate returns all faults of the content.
-func validate(c *content, locate func(place) (string, int)) Faults {
-	v := &validator{content: c, locate: locate, fold: cases.Fold()}
-	v.checkTargets()
-	v.checkVersion()
-	v.checkRanks()
-	v.checkRoutes()
-	v.checkLeaving()
+// scope says which parts of a content are whole enough to be validated.
+type scope struct {
+	targets    bool
+	rules      bool
+	references bool
+}
+
+var everything = scope{targets: true, rules: true, references: true}
+
+// validate returns all faults of the content within the scope.
+func validate(c *content, locate func(place) (string, int), s scope) Faults {
+	v := &validator{content: c, locate: locate, scope: s, fold: cases.Fold()}
+	if s.targets {
+		v.checkTargets()
+	}
+	if s.rules {
+		v.checkVersion()
+		v.checkRanks()
+		v.checkRoutes()
+		v.checkLeaving()
+	}
 	return v.faults
 }
 
 func (v *validator) fault(p place, message, remedy string) {
 	file, line := v.locate(p)
-	v.faults = append(v.faults, Fault{file: file, line: line, field: p.field, message: message, remedy: remedy})
+	v.faults = append(v.faults,
+		Fault{file: file, line: line, field: p.field, message: message, remedy: remedy, place: p})
 }
 
 func (v *validator) checkVersion() {
--- a/internal/register/validate_rules.go
+++ b/internal/register/validate_rules.go
@@ -85,6 +85,9 @@
 		matches[match] = cmp.Or(matches[match], r.Name)
 		routed[r.Service] = true
 	}
+	if !v.scope.references {
+		return
+	}
 	for _, service := range slices.Sorted(maps.Keys(services)) {
 		if !routed[service] && service != "" {
 			v.fault(place{section: sectionTarget, index: services[service], field: "service"},
@@ -111,7 +114,7 @@
 		v.fault(p, "the name is missing", "fill it in")
 		return
 	}
-	if _, ok := known[name]; !ok {
+	if _, ok := known[name]; !ok && v.scope.references {
 		v.fault(p, fmt.Sprintf("there is no %s %q", what, name),
 			suggest(name, slices.Sorted(maps.Keys(known)), "add the "+what+" or remove the reference"))
 	}
--- a/internal/register/validate_targets.go
+++ b/internal/register/validate_targets.go
@@ -12,7 +12,7 @@
 )
 
 func (v *validator) checkTargets() {
-	if len(v.content.targets) == 0 {
+	if len(v.content.targets) == 0 && v.scope.references {
 		v.fault(place{section: sectionTarget}, "the register has no targets", "add at least one row")
 	}
 	hosts, targets, services := v.names("host"), v.names("target"), v.spellings("service")
