--- a/cmd/cicadacross/main.go
+++ b/cmd/cicadacross/main.go
@@ -1,4 +1,18 @@
 // Command cicadacross is the operator's command.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cicadacross/internal/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, os.Args, command.Options{Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/command/error.go
@@ -0,0 +1,27 @@
+package command
+
+import "cicadacross/internal/failure"
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindSetting means that a flag, an environment variable or an argument is wrong.
+	KindSetting Kind = "setting"
+	// KindFile means that a file can't be read or written.
+	KindFile Kind = "file"
+	// KindFaults means that the register, the rules or a rendered version has faults.
+	KindFaults Kind = "faults"
+)
+
+// Error is the error type of this package.
+type Error = failure.Error[Kind]
+
+func newError(op string, kind Kind, format string, args ...any) error {
+	return failure.New(op, kind, format, args...)
+}
+
+func wrapError(op string, kind Kind, cause error, format string, args ...any) error {
+	return failure.Wrap(op, kind, cause, format, args...)
+}
--- a/internal/register/document.go
+++ b/internal/register/document.go
@@ -9,8 +9,8 @@
 	"golang.org/x/text/unicode/norm"
 )
 
-// maxDocumentSize bounds the work on a wrong file; the register of 600 targets takes about 100 KB.
-const maxDocumentSize = 16 << 20
+// MaxDocumentSize is the length of the longest document that is read, in bytes. It bounds the work on a wrong file.
+const MaxDocumentSize = 16 << 20
 
 // Document is a file with its name, which appears in faults.
 type Document struct {
@@ -116,7 +116,7 @@
 	}
 	data, _ := bytes.CutPrefix(d.data, markUTF8)
 	switch {
-	case len(d.data) > maxDocumentSize:
+	case len(d.data) > MaxDocumentSize:
 		return refuse(0, "the file is larger than 16 MB", "check that this is the right file")
 	case bytes.HasPrefix(data, markUTF16LE), bytes.HasPrefix(data, markUTF16BE):
 		return refuse(1, "the file is encoded as UTF-16", remedy+` (in a spreadsheet: "CSV UTF-8")`)
--- a/internal/register/manifest.go
+++ b/internal/register/manifest.go
@@ -16,7 +16,7 @@
 	manifestFormat = 1
 	// MaxVersion is the largest version number that is accepted.
 	MaxVersion = 1_000_000_000_000
-	// maxTotalSize bounds the memory of a daemon: the register of 600 targets takes about 200 KB.
+	// maxTotalSize bounds the memory that a wrong manifest takes from a daemon, in bytes.
 	maxTotalSize = 16 << 20
 	// RulesPart is the name of the part with ranks, routes and leaving hosts.
 	RulesPart = "rules"
