--- /dev/null
+++ b/internal/idempotency/owner.go
@@ -0,0 +1,50 @@
+package idempotency
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadacross"
+)
+
+// Owner returns the target that owns the key: the first of the service's targets by rendezvous hashing of host and
+// key. A change of one target moves only the keys of that target. It returns false when there is no target; a nil
+// service has none.
+func Owner(service *cicadacross.Service, key string) (cicadacross.Target, bool) {
+	var best cicadacross.Target
+	if service == nil || len(service.Targets()) == 0 {
+		return best, false
+	}
+	var bestScore uint64
+	for i, t := range service.Targets() {
+		score := score(t.Host(), key)
+		if i == 0 || score > bestScore || score == bestScore && t.Host() < best.Host() {
+			best, bestScore = t, score
+		}
+	}
+	return best, true
+}
+
+// score hashes host and key with a separator that no host name contains.
+func score(host, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(host)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+// others returns the targets of the service except the one on the host, in the order of rendezvous hashing.
+func others(service *cicadacross.Service, key, host string) []cicadacross.Target {
+	if service == nil {
+		return nil
+	}
+	list := slices.DeleteFunc(slices.Clone(service.Targets()), func(t cicadacross.Target) bool { return t.Host() == host })
+	slices.SortFunc(list, func(a, b cicadacross.Target) int {
+		return cmp.Or(cmp.Compare(score(b.Host(), key), score(a.Host(), key)), cmp.Compare(a.Host(), b.Host()))
+	})
+	return list
+}
