--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,58 @@
+package quarantine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadacross"
+)
+
+// FingerprintBody is the length of the body's beginning that Fingerprint takes into account, in bytes.
+const FingerprintBody = 4096
+
+// Fingerprint identifies a request by service, method, path and the first FingerprintBody bytes of its body; further
+// bytes are ignored. Requests that differ only after that share a fingerprint.
+func Fingerprint(service, method, path string, bodyPrefix []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{service, method, path} {
+		writePart(&d, part)
+	}
+	_, _ = d.Write(bodyPrefix[:min(len(bodyPrefix), FingerprintBody)])
+	return d.Sum64()
+}
+
+// writePart writes the length too, so that no two lists of parts run into the same bytes.
+func writePart(d *xxhash.Digest, part string) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+	_, _ = d.Write(length[:])
+	_, _ = d.WriteString(part)
+}
+
+// Confine returns the one target of the service to which a suspect may be sent, by rendezvous hashing of host and
+// fingerprint. When that target can't take the request, the request is refused as not run: sending it elsewhere would
+// let it take down another target. It returns false when the service is nil or has no target.
+func Confine(service *cicadacross.Service, fingerprint uint64) (cicadacross.Target, bool) {
+	var best cicadacross.Target
+	if service == nil {
+		return best, false
+	}
+	var bestScore uint64
+	found := false
+	for _, t := range service.Targets() {
+		score := confineScore(t.Host(), fingerprint)
+		if !found || score > bestScore || score == bestScore && t.Host() < best.Host() {
+			best, bestScore, found = t, score, true
+		}
+	}
+	return best, found
+}
+
+func confineScore(host string, fingerprint uint64) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(fingerprint)
+	_, _ = d.WriteString(host)
+	return d.Sum64()
+}
