--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,27 @@
+package journal_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/zeromicro/go-zero/core/logx"
+	"google.golang.org/grpc/grpclog"
+	"gotest.tools/v3/assert"
+
+	"cicadacross/internal/journal"
+)
+
+// Guards against library output that bypasses the log or breaks its key=value lines.
+func TestCaptureSendsLibraryOutputToTheLog(t *testing.T) {
+	var out bytes.Buffer
+	journal.Capture(journal.New(journal.Options{Writer: &out}))
+	logx.Infow("served", logx.Field("status", 200))
+	grpclog.Warningln("connection lost")
+	grpclog.Infoln("picked a transport")
+	logx.Debug("detail")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 2, out.String())
+	assert.Assert(t, strings.Contains(lines[0], `level=INFO msg=served logger=go-zero status=200`), lines[0])
+	assert.Assert(t, strings.Contains(lines[1], `msg="connection lost" logger=grpc severity=warning`), lines[1])
+}
