--- a/admission.go
+++ b/admission.go
@@ -78,4 +78,6 @@
 	Timers   Timers
 	// LeastUrgent is the urgency number of the least urgent rank; 0 means unknown.
 	LeastUrgent int
+	// Averaging is the time over which the usual rate of a kind of work is averaged; 0 means 60 s.
+	Averaging time.Duration
 }
--- /dev/null
+++ b/internal/admission/share.go
@@ -0,0 +1,271 @@
+package admission
+
+import (
+	"time"
+
+	"cicadacross"
+	"cicadacross/internal/kernel"
+)
+
+const (
+	// defaultAveraging is the time over which the usual rate of a kind is averaged.
+	defaultAveraging = 60 * time.Second
+	// learnStep is the shortest time between two steps of learning.
+	learnStep = 100 * time.Millisecond
+	// overloadMemory is how long after a refusal the usual rates don't rise.
+	overloadMemory = time.Second
+	// usualMargin is how far a kind may go above its usual rate and still be within it, since arrivals are random.
+	usualMargin = 1.25
+	// floorShare is the part of the slots that even the rarest kind has as its usual rate.
+	floorShare = 0.01
+	// reservedShare of the slots is kept for ranks above the least urgent, from reservedMinimum slots on.
+	reservedShare   = 0.1
+	reservedMinimum = 4
+	// forgetAfter averaging times without a request a kind is forgotten.
+	forgetAfter = 10
+	// minRetryAfter is the shortest time after which a refused request is asked to come again.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+func init() {
+	kernel.Admissions.Register("share", func(opts cicadacross.AdmissionOptions) cicadacross.Admission {
+		return NewShare(opts)
+	})
+}
+
+// NewShare returns a gate that gives each kind of work its usual rate first, the most urgent rank before the others,
+// and what is left to the kinds above their usual rate by worth.
+func NewShare(opts cicadacross.AdmissionOptions) *Gate {
+	g := newGate(opts)
+	s := &share{gate: g, kinds: make(map[string]*kind), leastUrgent: opts.LeastUrgent, averaging: opts.Averaging}
+	if s.averaging <= 0 {
+		s.averaging = defaultAveraging
+	}
+	s.updated = g.timers.Now()
+	s.learnedAt = s.updated
+	g.discipline = s
+	return g
+}
+
+// share is the discipline of NewShare.
+type share struct {
+	gate      *Gate
+	kinds     map[string]*kind
+	order     []*kind
+	averaging time.Duration
+	// leastUrgent is the highest urgency number that is configured or was seen.
+	leastUrgent int
+
+	updated    time.Time
+	learnedAt  time.Time
+	overloaded time.Time
+}
+
+func (s *share) offer(now time.Time, t *ticket) *Error {
+	s.update(now)
+	k := s.kindOf(now, t.work)
+	t.kind = k
+	k.offered += k.expected()
+	if t.expired(now, k.expected()) {
+		return refusal(KindDeadline, 0, "a request of kind %q takes longer than its deadline allows", k.name)
+	}
+	if err := s.refuseLate(now, t); err != nil {
+		s.overloaded = now
+		return err
+	}
+	if s.gate.queued >= s.gate.maxQueue {
+		s.overloaded = now
+		if !s.makeRoom(t) {
+			return refusal(KindQueueFull, s.retryAfter(k), "queue holds %d requests", s.gate.queued)
+		}
+	}
+	k.queue.push(t)
+	return nil
+}
+
+// kindOf returns the state of the request's kind with its present rank.
+func (s *share) kindOf(now time.Time, w cicadacross.Work) *kind {
+	k, ok := s.kinds[w.Kind()]
+	if !ok {
+		k = newKind(w.Kind())
+		s.kinds[w.Kind()] = k
+		s.order = append(s.order, k)
+		k.rank = w.Rank()
+		s.settle()
+		k.allowance = time.Duration(k.usual * float64(allowanceDepth))
+	}
+	k.rank = w.Rank()
+	k.seen = now
+	s.leastUrgent = max(s.leastUrgent, k.rank.Urgency())
+	return k
+}
+
+// next removes and returns the request that gets a free slot: the most urgent one within its usual rate, or else the
+// one whose kind has received the least excess slot time for its worth.
+func (s *share) next(now time.Time) *ticket {
+	s.update(now)
+	var best *kind
+	for _, k := range s.order {
+		s.dropLate(now, k)
+		if k.waiting() == 0 || !s.mayBegin(k) {
+			continue
+		}
+		if best == nil || s.before(k, best) {
+			best = k
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return s.begin(best)
+}
+
+// before reports whether a waiting request of a is served before one of b.
+func (s *share) before(a, b *kind) bool {
+	if a.within() != b.within() {
+		return a.within()
+	}
+	if !a.within() {
+		return a.served < b.served
+	}
+	if a.rank.MoreUrgent(b.rank) || b.rank.MoreUrgent(a.rank) {
+		return a.rank.MoreUrgent(b.rank)
+	}
+	return a.allowance > b.allowance
+}
+
+// begin takes the first waiting request of the kind and charges it.
+func (s *share) begin(k *kind) *ticket {
+	var t *ticket
+	if k.queue.len() > 0 {
+		t = k.queue.pop()
+	} else {
+		t = k.late.pop()
+	}
+	t.charge = k.expected()
+	t.excess = !k.within()
+	if t.excess {
+		s.catchUp(k)
+	}
+	s.charge(t, t.charge)
+	k.inProgress++
+	return t
+}
+
+// charge takes slot time from the allowance of the request's kind, or counts it as excess.
+func (s *share) charge(t *ticket, amount time.Duration) {
+	if t.excess {
+		t.kind.served += amount.Seconds() / t.kind.worth()
+		return
+	}
+	t.kind.allowance -= amount
+}
+
+// catchUp keeps a kind that had no excess for a while from claiming that time now.
+func (s *share) catchUp(k *kind) {
+	lowest := -1.0
+	for _, other := range s.order {
+		if other != k && other.waiting() > 0 && !other.within() && (lowest < 0 || other.served < lowest) {
+			lowest = other.served
+		}
+	}
+	k.served = max(k.served, lowest)
+}
+
+// dropLate moves requests that can't be answered in time behind the others, and refuses those that can't be answered
+// before their deadline. Requests above the usual rate are refused in both cases.
+func (s *share) dropLate(now time.Time, k *kind) {
+	for k.queue.len() > 0 && k.queue.list[0].missed(now, k.cautious()) {
+		t := k.queue.pop()
+		t.late = true
+		k.late.push(t)
+	}
+	for k.late.len() > 0 {
+		t := k.late.list[0]
+		if k.within() && !t.expired(now, k.expected()) {
+			return
+		}
+		k.late.pop()
+		s.overloaded = now
+		s.gate.shed(t, refusal(KindDeadline, s.retryAfter(k), "queued too long to be answered in time"))
+	}
+}
+
+func (s *share) withdraw(t *ticket) {
+	t.kind.queue.remove(t)
+	t.kind.late.remove(t)
+}
+
+func (s *share) ended(now time.Time, t *ticket) {
+	s.update(now)
+	k := t.kind
+	k.inProgress--
+	took := now.Sub(t.started)
+	s.charge(t, took-t.charge)
+	if !t.cancelled {
+		k.measure(took)
+	}
+}
+
+// update refills the allowances and learns the usual rates.
+func (s *share) update(now time.Time) {
+	passed := now.Sub(s.updated)
+	if passed <= 0 {
+		return
+	}
+	s.updated = now
+	if step := now.Sub(s.learnedAt); step >= learnStep {
+		s.learn(now, step)
+		s.learnedAt = now
+	}
+	margin := s.margin()
+	for _, k := range s.order {
+		k.refill(passed, margin)
+	}
+}
+
+// margin returns how far the kinds may go above their usual rates, so that all together still find slots.
+func (s *share) margin() float64 {
+	sum := 0.0
+	for _, k := range s.order {
+		sum += k.usual
+	}
+	if sum <= 0 {
+		return usualMargin
+	}
+	return min(usualMargin, max(1, float64(s.gate.slots)/sum))
+}
+
+func (s *share) learn(now time.Time, step time.Duration) {
+	overloaded := !s.overloaded.IsZero() && now.Sub(s.overloaded) < overloadMemory
+	kept := s.order[:0]
+	for _, k := range s.order {
+		if now.Sub(k.seen) > forgetAfter*s.averaging && k.inProgress == 0 && k.waiting() == 0 {
+			delete(s.kinds, k.name)
+			continue
+		}
+		kept = append(kept, k)
+		ceiling := float64(s.gate.slots)
+		if overloaded {
+			ceiling = k.usual
+		}
+		k.learn(step, s.averaging, ceiling)
+	}
+	clear(s.order[len(kept):])
+	s.order = kept
+	s.settle()
+}
+
+// settle sets the usual rates. An owner that has just started knows none: half of the slots are then split evenly, so
+// that no kind can be kept out, and half by worth.
+func (s *share) settle() {
+	worth := 0.0
+	for _, k := range s.order {
+		worth += k.worth()
+	}
+	slots := float64(s.gate.slots)
+	for _, k := range s.order {
+		start := slots * (0.5/float64(len(s.order)) + 0.5*k.worth()/worth)
+		k.settle(start, slots*floorShare)
+	}
+}
