--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,347 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+
+	"cicadacross"
+	"cicadacross/internal/admission"
+	_ "cicadacross/internal/balance" // registers the balancers
+	"cicadacross/internal/decision"
+	"cicadacross/internal/failure"
+	"cicadacross/internal/fleet"
+	"cicadacross/internal/idempotency"
+	"cicadacross/internal/ingress"
+	"cicadacross/internal/journal"
+	"cicadacross/internal/kernel"
+	"cicadacross/internal/peer"
+	"cicadacross/internal/peerpb"
+	"cicadacross/internal/quarantine"
+	"cicadacross/internal/relay"
+	"cicadacross/internal/timer"
+	"cicadacross/internal/upstream"
+)
+
+// logLevels maps the setting to the level.
+var logLevels = map[string]slog.Level{
+	"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
+}
+
+// startSlots is the number of slots before the first configuration says how many the target has.
+const startSlots = 1
+
+// Options configures what isn't a setting of the operator.
+type Options struct {
+	// Log receives the log lines; nil discards them.
+	Log io.Writer
+	// Timers is the timer service; nil means the clock of the machine.
+	Timers cicadacross.Timers
+}
+
+// Daemon is one daemon with all its parts.
+type Daemon struct {
+	settings  Settings
+	log       logr.Logger
+	timers    cicadacross.Timers
+	metrics   metrics.Registry
+	pool      *peer.Pool
+	server    *grpc.Server
+	fleet     *fleet.Fleet
+	view      *memberView
+	keys      *idempotency.Store
+	suspects  *quarantine.Keeper
+	decisions *decision.Book
+	upstream  *upstream.Upstream
+	admission cicadacross.Admission
+	owner     *relay.Owner
+	client    *relay.Client
+	pause     *relay.Pause
+	ingress   *ingress.Server
+	operators *operatorServer
+	serving   sync.WaitGroup
+}
+
+// New builds a daemon. The error names each bad or missing setting.
+func New(settings Settings, opts Options) (*Daemon, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: settings, timers: opts.Timers, metrics: metrics.NewRegistry()}
+	if d.timers == nil {
+		d.timers = timer.System{}
+	}
+	writer := opts.Log
+	if writer == nil {
+		writer = io.Discard
+	}
+	d.log = journal.New(journal.Options{Writer: writer, Level: logLevels[settings.LogLevel]}).WithValues("host", settings.Host)
+	if err := d.buildControl(); err != nil {
+		return nil, err
+	}
+	if err := d.buildTraffic(); err != nil {
+		return nil, err
+	}
+	d.operators = newOperatorServer(d)
+	return d, nil
+}
+
+// buildControl builds the parts that distribute configurations.
+func (d *Daemon) buildControl() error {
+	sources, err := kernel.Sources.Lookup("http")
+	if err != nil {
+		return err
+	}
+	source, err := sources(d.settings.Platform)
+	if err != nil {
+		return wrapError("build", KindPlugin, err, "source")
+	}
+	d.suspects = quarantine.New(quarantine.Options{Host: d.settings.Host, Timers: d.timers})
+	local := d.localAddress()
+	d.fleet, err = fleet.New(fleet.Options{
+		Host:             d.settings.Host,
+		AvailabilityZone: d.settings.AvailabilityZone,
+		Peer:             d.settings.AdvertisePeer,
+		Operator:         d.settings.ListenOperator,
+		Seeds:            d.settings.Seeds,
+		FleetKey:         d.settings.FleetKey,
+		Source:           source,
+		Readers:          readerPolicies[d.settings.Readers],
+		Timers:           d.timers,
+		Log:              d.log,
+		Metrics:          d.metrics,
+		Quarantine:       d.suspects,
+		OnApply:          d.applied,
+		DialOptions:      []grpc.DialOption{peer.From(local)},
+	})
+	if err != nil {
+		return wrapError("build", KindPlugin, err, "fleet")
+	}
+	d.view = newMemberView(d.fleet, d.timers)
+	d.pool = peer.NewPool(d.settings.FleetKey, peer.From(local))
+	d.keys = idempotency.New(idempotency.Options{
+		Host:    d.settings.Host,
+		Timers:  d.timers,
+		Claimer: idempotency.NewClient(d.pool),
+		Seen:    d.view.Seen,
+		Settled: d.fleet.Settled,
+		Window:  d.settings.RepeatWindow,
+	})
+	return nil
+}
+
+// readerPolicies maps the setting to the policy.
+var readerPolicies = map[string]fleet.ReaderPolicy{
+	ReadersZone: fleet.ReadersElected,
+	ReadersAll:  fleet.ReadersAll,
+}
+
+// localAddress returns the address that connections to other daemons come from.
+func (d *Daemon) localAddress() netip.Addr {
+	return netip.MustParseAddrPort(d.settings.ListenPeer).Addr()
+}
+
+// buildTraffic builds the parts that carry requests.
+func (d *Daemon) buildTraffic() error {
+	admissions, err := kernel.Admissions.Lookup(d.settings.Admission)
+	if err != nil {
+		return err
+	}
+	balancers, err := kernel.Balancers.Lookup(d.settings.Balancer)
+	if err != nil {
+		return err
+	}
+	d.decisions = decision.New(decision.Options{
+		Timers: d.timers, Logger: d.log.WithName("decision"), LinesPerSecond: d.settings.DecisionLines,
+	})
+	d.upstream = upstream.New(upstream.Options{
+		Address: d.settings.Upstream, Timers: d.timers, Quarantine: d.suspects,
+		HealthPath: d.settings.HealthPath, Logger: d.log.WithName("upstream"),
+	})
+	d.admission = admissions(cicadacross.AdmissionOptions{
+		Slots: startSlots, MaxQueue: d.settings.MaxQueue, Timers: d.timers,
+	})
+	d.pause = relay.NewPause(d.timers)
+	d.owner = relay.NewOwner(relay.OwnerOptions{
+		Host: d.settings.Host, Configuration: d.fleet.Configuration, Leaving: d.fleet.Leaving,
+		Settled: d.fleet.Settled, KeyOwner: idempotency.Owner, Admission: d.admission, Keys: d.keys,
+		Quarantine: d.suspects, Upstream: d.upstream, Timers: d.timers, Decisions: d.decisions, Pause: d.pause,
+		Classify: classify,
+	})
+	d.client = relay.NewClient(relay.ClientOptions{
+		Pool: d.pool, Host: d.settings.Host, Local: d.owner, Timers: d.timers,
+	})
+	d.ingress, err = ingress.New(ingress.Options{
+		Host: d.settings.Host, Configuration: d.fleet.Configuration, Leaving: d.fleet.Leaving,
+		Suspect: d.view.Suspect, KeyOwner: idempotency.Owner, Quarantine: d.suspects, Client: d.client,
+		Balancer: balancers(cicadacross.BalancerOptions{
+			AvailabilityZone: d.settings.AvailabilityZone, Timers: d.timers,
+		}),
+		Decisions: d.decisions, Timers: d.timers, Pause: d.pause, Logger: d.log.WithName("ingress"),
+	})
+	if err != nil {
+		return wrapError("build", KindPlugin, err, "ingress")
+	}
+	d.server = peer.NewServer(d.settings.FleetKey, grpc.StatsHandler(d.fleet.StatsHandler()))
+	d.fleet.Register(d.server)
+	peerpb.RegisterRelayServer(d.server, d.owner)
+	peerpb.RegisterIdempotencyServer(d.server, idempotency.NewServer(d.keys))
+	return nil
+}
+
+// applied is called by the control goroutine before a configuration comes into force.
+func (d *Daemon) applied(previous, next *cicadacross.Configuration) {
+	// A version in between may have been in force elsewhere, with owners of keys that this daemon never learned of.
+	skipped := previous != nil && next.Version().Number() != previous.Version().Number()+1
+	d.keys.Applied(previous, next, skipped)
+	target, ok := next.TargetOn(d.settings.Host)
+	if !ok {
+		d.log.Info("host is not in the register", "version", next.Version().String())
+		return
+	}
+	if target.Upstream() != d.settings.Upstream {
+		d.log.Info("upstream of the register differs from the setting, which is used",
+			"register", target.Upstream(), "setting", d.settings.Upstream)
+	}
+	d.admission.Resize(target.Slots())
+	d.upstream.Resize(target.Connections())
+}
+
+// classify explains refusals of the parts to the relay.
+func classify(_ relay.Stage, err error) (relay.Verdict, bool) {
+	if kind, ok := failure.KindOf[idempotency.Kind](err); ok {
+		return keyVerdict(kind, err), true
+	}
+	if kind, ok := failure.KindOf[quarantine.Kind](err); ok {
+		if kind == quarantine.KindWaiting {
+			return relay.Verdict{Kind: relay.RefusalDeadline}, true
+		}
+		return relay.Verdict{Kind: relay.RefusalQuarantined}, true
+	}
+	if kind, ok := failure.KindOf[admission.Kind](err); ok {
+		return admissionVerdict(kind, err), true
+	}
+	return relay.Verdict{}, false
+}
+
+func keyVerdict(kind idempotency.Kind, err error) relay.Verdict {
+	verdict := relay.Verdict{Kind: relay.RefusalKey, EarlierUnknown: idempotency.EarlierUnknown(err)}
+	switch kind {
+	case idempotency.KindMisrouted:
+		verdict.Kind = relay.RefusalDisagree
+	case idempotency.KindUnsettled:
+		verdict.Kind = relay.RefusalUnsettled
+	case idempotency.KindKeyReused:
+		verdict.Kind = relay.RefusalKeyConflict
+	case idempotency.KindEarlierUnknown, idempotency.KindStoreFull, idempotency.KindInvalidKey, idempotency.KindClaim:
+	}
+	return verdict
+}
+
+func admissionVerdict(kind admission.Kind, err error) relay.Verdict {
+	verdict := relay.Verdict{Kind: relay.RefusalShed}
+	switch kind {
+	case admission.KindDeadline:
+		verdict.Kind = relay.RefusalDeadline
+	case admission.KindCanceled:
+		verdict.Kind = relay.RefusalCanceled
+	case admission.KindQueueFull, admission.KindExcess, admission.KindShed:
+	}
+	var refused *admission.Error
+	if errors.As(err, &refused) {
+		verdict.RetryAfter = refused.RetryAfter()
+	}
+	return verdict
+}
+
+// Start listens on all addresses and starts all parts. When it fails, nothing is left running.
+func (d *Daemon) Start() error {
+	listeners := make([]net.Listener, 0, 3)
+	for _, address := range []string{d.settings.ListenPeer, d.settings.ListenCaller, d.settings.ListenOperator} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return wrapError("start", KindListen, err, "address %q", address)
+		}
+		listeners = append(listeners, listener)
+	}
+	d.pause.Start()
+	d.upstream.Start()
+	d.client.Start()
+	d.keys.Start()
+	d.fleet.Start()
+	d.view.Start()
+	for _, s := range []service{
+		{name: "peers", serve: d.server.Serve, listener: listeners[0]},
+		{name: "callers", serve: d.ingress.Serve, listener: listeners[1]},
+		{name: "operators", serve: d.operators.Serve, listener: listeners[2]},
+	} {
+		d.serving.Add(1)
+		go s.run(d)
+	}
+	d.log.Info("daemon started", "availability_zone", d.settings.AvailabilityZone,
+		"callers", d.settings.ListenCaller, "peers", d.settings.ListenPeer, "operators", d.settings.ListenOperator)
+	return nil
+}
+
+// service is one listening server.
+type service struct {
+	name     string
+	serve    func(net.Listener) error
+	listener net.Listener
+}
+
+func (s service) run(d *Daemon) {
+	defer d.serving.Done()
+	if err := s.serve(s.listener); err != nil {
+		d.log.Error(err, "server ended", "serves", s.name)
+	}
+}
+
+// Fleet returns the control part.
+func (d *Daemon) Fleet() *fleet.Fleet { return d.fleet }
+
+// Shutdown ends the daemon gracefully: it tells the fleet that this host leaves, refuses new requests as not run,
+// waits until no request is in progress, and stops. The wait ends early with ctx or after the drain limit.
+func (d *Daemon) Shutdown(ctx context.Context) error {
+	if d.settings.DrainLimit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d.settings.DrainLimit)
+		defer cancel()
+	}
+	d.log.Info("daemon is draining", "in_progress", d.owner.InProgress())
+	d.fleet.SetDraining(true)
+	d.ingress.Drain()
+	err := d.owner.Drain(ctx)
+	if ingressErr := d.ingress.Shutdown(ctx); err == nil {
+		err = ingressErr
+	}
+	d.Close()
+	d.log.Info("daemon stopped", "drained", err == nil)
+	return err
+}
+
+// Close ends the daemon at once.
+func (d *Daemon) Close() {
+	d.ingress.Close()
+	d.server.Stop()
+	d.operators.Close()
+	d.view.Stop()
+	d.fleet.Stop()
+	d.keys.Close()
+	d.client.Stop()
+	d.upstream.Close()
+	d.pause.Stop()
+	d.pool.Close()
+	d.serving.Wait()
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -19,17 +19,13 @@
 type Options struct {
 	// Writer receives the lines, each in one call. It must be safe for concurrent use or used by the log only.
 	Writer io.Writer
-	// Detailed includes the lines that matter only when looking for a fault.
-	Detailed bool
+	// Level is the lowest level that is written; the zero value is slog.LevelInfo.
+	Level slog.Level
 }
 
 // New returns a log of key=value lines. It is safe for concurrent use.
 func New(opts Options) logr.Logger {
-	level := slog.LevelInfo
-	if opts.Detailed {
-		level = slog.Level(-detail)
-	}
-	return logr.FromSlogHandler(slog.NewTextHandler(opts.Writer, &slog.HandlerOptions{Level: level}))
+	return logr.FromSlogHandler(slog.NewTextHandler(opts.Writer, &slog.HandlerOptions{Level: opts.Level}))
 }
 
 // Capture sends what go-zero and grpc log to the logger. It must be called before any other use of these libraries,
