upstream: call the upstream on connections that are never written twice

http.Transport repeats calls that it takes for idempotent when a kept-alive connection breaks, so the pool here is built on http.ClientConn, which has no retry. Bytes are counted on the wire, so an error says whether the upstream may have begun the call.

--- /dev/null
+++ b/internal/upstream/error.go
@@ -0,0 +1,56 @@
+package upstream
+
+import "cicadacross/internal/failure"
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of errors. After KindConnect, KindBusy, KindClosed, KindNotSent and KindBadCall the upstream has not begun
+// the call.
+const (
+	// KindConnect means that no new connection could be made.
+	KindConnect Kind = "connect"
+	// KindBusy means that the time ended before a connection was free.
+	KindBusy Kind = "busy"
+	// KindClosed means that the transport is closed.
+	KindClosed Kind = "closed"
+	// KindNotSent means that the connection broke before the first byte of the request was written.
+	KindNotSent Kind = "not_sent"
+	// KindBadCall means that the call can't be written as an HTTP request.
+	KindBadCall Kind = "bad_call"
+	// KindBroken means that the connection broke.
+	KindBroken Kind = "broken"
+	// KindSilent means that no byte arrived within the time limit.
+	KindSilent Kind = "silent"
+	// KindTimeout means that the time ended in the middle of the answer.
+	KindTimeout Kind = "timeout"
+	// KindCanceled means that the caller of this package canceled the call.
+	KindCanceled Kind = "canceled"
+	// KindBadReply means that the answer isn't one whose end can be recognised.
+	KindBadReply Kind = "bad_reply"
+)
+
+// Error is the error type of this package.
+type Error = failure.Error[Kind]
+
+func newError(op string, kind Kind, format string, args ...any) error {
+	return failure.New(op, kind, format, args...)
+}
+
+func wrapError(op string, kind Kind, cause error, text string) error {
+	return failure.Wrap(op, kind, cause, "%s", text)
+}
+
+// Begun reports whether the upstream may have begun the call that failed with err.
+func Begun(err error) bool {
+	kind, ok := failure.KindOf[Kind](err)
+	if !ok {
+		return true
+	}
+	switch kind {
+	case KindConnect, KindBusy, KindClosed, KindNotSent, KindBadCall:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,142 @@
+package upstream
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// pool counts the connections in use and keeps the idle ones. Connections in use and idle ones together never exceed
+// the limit: a connection is dialed only when no idle one is left or in place of one that is closed.
+type pool struct {
+	mu      sync.Mutex
+	limit   int
+	inUse   int
+	idle    []*Connection // the one used last is at the end
+	waiters []chan struct{}
+	closed  bool
+}
+
+// enter waits until a connection may be used.
+func (p *pool) enter(ctx context.Context) error {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return newError("connect", KindClosed, "the transport is closed")
+	}
+	if p.inUse < p.limit && len(p.waiters) == 0 {
+		p.inUse++
+		p.mu.Unlock()
+		return nil
+	}
+	ready := make(chan struct{})
+	p.waiters = append(p.waiters, ready)
+	p.mu.Unlock()
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	i := slices.Index(p.waiters, ready)
+	if i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+	}
+	p.mu.Unlock()
+	if i < 0 {
+		p.leave()
+	}
+	return wrapError("connect", KindBusy, ctx.Err(), "all connections are in use")
+}
+
+// leave gives back the right that enter gave.
+func (p *pool) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inUse--
+	p.admit()
+}
+
+func (p *pool) admit() {
+	for p.inUse < p.limit && len(p.waiters) > 0 {
+		close(p.waiters[0])
+		p.waiters = p.waiters[1:]
+		p.inUse++
+	}
+}
+
+// take returns the idle connection that was used last, or nil.
+func (p *pool) take() *Connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return c
+}
+
+// takeOldest returns the idle connection that has not been used for the longest time, or nil.
+func (p *pool) takeOldest() *Connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return c
+}
+
+// put keeps a connection that is still counted as in use, or closes it when the pool has no room. The caller calls
+// leave afterwards, so that a waiting call finds the connection.
+func (p *pool) put(c *Connection) {
+	p.mu.Lock()
+	keep := !p.closed && len(p.idle)+p.inUse <= p.limit
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		c.shut()
+	}
+}
+
+// closeIdle closes the idle connections last used before the time.
+func (p *pool) closeIdle(before time.Time) {
+	p.mu.Lock()
+	var old []*Connection
+	p.idle = slices.DeleteFunc(p.idle, func(c *Connection) bool {
+		if c.lastUsed.Before(before) {
+			old = append(old, c)
+			return true
+		}
+		return false
+	})
+	p.mu.Unlock()
+	for _, c := range old {
+		c.shut()
+	}
+}
+
+func (p *pool) resize(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	p.admit()
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.shut()
+	}
+}
