--- /dev/null
+++ b/internal/relay/headers.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+
+	"cicadacross/internal/peerpb"
+)
+
+// hopHeaders hold for one connection only and are not passed on. Content-Length and Trailer are written anew from the
+// message itself.
+var hopHeaders = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// EncodeHeader returns the headers to pass on, without those that hold for one connection.
+func EncodeHeader(header http.Header) []*peerpb.Header {
+	named := connectionTokens(header)
+	list := make([]*peerpb.Header, 0, len(header))
+	backing := make([]peerpb.Header, len(header))
+	for name, values := range header {
+		if hopHeaders[name] || named[name] {
+			continue
+		}
+		for _, value := range values {
+			var h *peerpb.Header
+			if len(backing) > 0 {
+				h, backing = &backing[0], backing[1:]
+			} else {
+				h = new(peerpb.Header)
+			}
+			h.Name, h.Value = name, value
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// connectionTokens returns the names that the Connection header lists.
+func connectionTokens(header http.Header) map[string]bool {
+	var named map[string]bool
+	for _, value := range header["Connection"] {
+		for token := range strings.SplitSeq(value, ",") {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	return named
+}
+
+// DecodeHeader returns the headers of a message between daemons.
+func DecodeHeader(list []*peerpb.Header) http.Header {
+	header := make(http.Header, len(list)+headerSpare)
+	for _, h := range list {
+		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
+	}
+	return header
+}
+
+// headerSpare is room for the headers that a daemon adds.
+const headerSpare = 6
--- /dev/null
+++ b/internal/relay/refusal.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cicadacross/internal/peerpb"
+)
+
+// The kinds of refusals. A refused request did not run.
+const (
+	RefusalBadHead     = "bad_head"
+	RefusalWrongTarget = "wrong_target"
+	RefusalDraining    = "draining"
+	RefusalUnsettled   = "unsettled"
+	RefusalDisagree    = "disagree"
+	RefusalKey         = "key"
+	RefusalKeyConflict = "key_conflict"
+	RefusalQuarantined = "quarantined"
+	RefusalShed        = "shed"
+	RefusalDeadline    = "deadline"
+	RefusalCanceled    = "canceled"
+	RefusalUpstream    = "upstream"
+)
+
+// The kinds of failures. A request that failed was started, and its outcome is unknown.
+const (
+	FailureKey       = "key"
+	FailurePreempted = "preempted"
+	FailureTimeout   = "timeout"
+	FailureBroken    = "broken"
+)
+
+// Stage is the step at which a request was refused.
+type Stage string
+
+// The stages that answer with errors of other packages.
+const (
+	StageKeys       Stage = "keys"
+	StageQuarantine Stage = "quarantine"
+	StageAdmission  Stage = "admission"
+)
+
+// Verdict is what the ingress daemon learns from an error of another package.
+type Verdict struct {
+	// Kind is one of the kinds of refusals, or of failures when Unknown is set.
+	Kind       string
+	RetryAfter time.Duration
+	// EarlierUnknown says that an earlier send of the key may have run.
+	EarlierUnknown bool
+	// Unknown says that the request itself counts as possibly run: an earlier send of the key may have run, and
+	// this send joins it.
+	Unknown bool
+}
+
+// defaultRetryAfter is told to callers when admission gives no time.
+const defaultRetryAfter = time.Second
+
+// defaultVerdict assumes the worst that the stage can mean.
+func defaultVerdict(stage Stage) Verdict {
+	switch stage {
+	case StageKeys:
+		return Verdict{Kind: RefusalKey, EarlierUnknown: true}
+	case StageQuarantine:
+		return Verdict{Kind: RefusalQuarantined}
+	case StageAdmission:
+		return Verdict{Kind: RefusalShed, RetryAfter: defaultRetryAfter}
+	}
+	return Verdict{Kind: RefusalShed}
+}
+
+// verdict classifies an error of a stage. The end of the context counts as deadline or cancellation at every stage.
+func (o *Owner) verdict(stage Stage, err error) Verdict {
+	if o.opts.Classify != nil {
+		if v, ok := o.opts.Classify(stage, err); ok {
+			return v
+		}
+	}
+	earlier := stage == StageKeys
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return Verdict{Kind: RefusalDeadline, EarlierUnknown: earlier}
+	case errors.Is(err, context.Canceled):
+		return Verdict{Kind: RefusalCanceled, EarlierUnknown: earlier}
+	}
+	return defaultVerdict(stage)
+}
+
+func refusal(kind, reason string) *peerpb.Refusal {
+	return &peerpb.Refusal{Kind: kind, Reason: reason}
+}
--- /dev/null
+++ b/internal/relay/run.go
@@ -0,0 +1,315 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadacross"
+	"cicadacross/internal/peerpb"
+	"cicadacross/internal/upstream"
+)
+
+// fingerprintBody is how much of the body the fingerprint of a request covers, in bytes.
+const fingerprintBody = 4 << 10
+
+// run is one request at its owner.
+type run struct {
+	owner     *Owner
+	session   session
+	head      *peerpb.ForwardHead
+	deadline  time.Time
+	key       cicadacross.KeyRun // nil for repeatable requests
+	release   func()             // gives slot and place in progress back; nil before they are taken
+	preempted atomic.Bool
+	gone      bool // the ingress daemon takes no more messages
+}
+
+func newRun(o *Owner, s session, head *peerpb.ForwardHead) *run {
+	timeout := time.Duration(head.GetTimeoutMs()) * time.Millisecond // #nosec G115 -- bounded by the ingress
+	if o.opts.Pause != nil {
+		timeout -= o.opts.Pause.Lost()
+	}
+	return &run{owner: o, session: s, head: head, deadline: o.opts.Timers.Now().Add(timeout)}
+}
+
+func (r *run) serve() error {
+	if refused := r.check(); refused != nil {
+		return r.refuse(refused)
+	}
+	ctx, cancel := context.WithTimeout(r.session.Context(), r.remaining())
+	defer cancel()
+	if !r.head.GetRepeatable() {
+		done, err := r.begin(ctx)
+		if done || err != nil {
+			return err
+		}
+		// Only the first verdict counts, so this one only holds when the run ends without one.
+		defer r.key.Unknown()
+	}
+	if admitted, err := r.admit(ctx, cancel); !admitted {
+		return err
+	}
+	defer r.release()
+	return r.execute(ctx)
+}
+
+func (r *run) remaining() time.Duration { return r.deadline.Sub(r.owner.opts.Timers.Now()) }
+
+// check refuses requests that this owner must not run, whatever its load.
+func (r *run) check() *peerpb.Refusal {
+	o := r.owner
+	c := o.opts.Configuration()
+	if c == nil {
+		return refusal(RefusalUnsettled, "the owner has no configuration")
+	}
+	own, ok := c.TargetOn(o.opts.Host)
+	switch {
+	case !ok || r.head.GetHost() != o.opts.Host:
+		return refusal(RefusalWrongTarget, "the target is not on this host")
+	case own.Service() != r.head.GetService() || own.Name() != r.head.GetTarget():
+		return refusal(RefusalWrongTarget, "this host has another target")
+	case o.Leaving():
+		return refusal(RefusalDraining, "the target takes no new work")
+	case r.remaining() <= 0:
+		return refusal(RefusalDeadline, "no time is left")
+	case r.head.GetRepeatable():
+		return nil
+	}
+	return r.checkKey(c, own)
+}
+
+// checkKey refuses a keyed request whose key another target owns, or whose owner is in doubt.
+func (r *run) checkKey(c *cicadacross.Configuration, own cicadacross.Target) *peerpb.Refusal {
+	o := r.owner
+	if r.head.GetIdempotencyKey() == "" {
+		return refusal(RefusalBadHead, "a request that must not repeat has no key")
+	}
+	if o.opts.Settled != nil && !o.opts.Settled() {
+		r := refusal(RefusalUnsettled, "the owner's evidence is outdated")
+		r.EarlierUnknown = true
+		return r
+	}
+	service, ok := c.Service(own.Service())
+	if !ok {
+		return refusal(RefusalWrongTarget, "unknown service")
+	}
+	owner, ok := o.opts.KeyOwner(service, r.head.GetIdempotencyKey())
+	if !ok || owner.Host() != o.opts.Host {
+		r := refusal(RefusalDisagree, "another target owns the key in version "+c.Version().String())
+		r.EarlierUnknown = true
+		return r
+	}
+	return nil
+}
+
+// begin claims the key. It reports true when the request is answered: from the kept reply or by a refusal.
+func (r *run) begin(ctx context.Context) (bool, error) {
+	version := r.head.GetVersion()
+	request := cicadacross.KeyedRequest{
+		RequestID:   r.head.GetRequestId(),
+		Service:     r.head.GetService(),
+		Key:         r.head.GetIdempotencyKey(),
+		Fingerprint: contentFingerprint(r.head),
+		Version:     DecodeVersion(version),
+	}
+	key, kept, err := r.owner.opts.Keys.Begin(ctx, request)
+	switch {
+	case err != nil:
+		return true, r.deny(StageKeys, err)
+	case kept != nil:
+		r.record("kept_reply")
+		return true, r.sendKept(kept)
+	}
+	r.key = key
+	return false, nil
+}
+
+// admit takes the place in progress and the slot. It reports false when the request is answered by a refusal.
+func (r *run) admit(ctx context.Context, cancel context.CancelFunc) (bool, error) {
+	o := r.owner
+	leave, err := o.opts.Quarantine.Enter(ctx, Fingerprint(r.head))
+	if err != nil {
+		return false, r.deny(StageQuarantine, err)
+	}
+	opts := cicadacross.WorkOptions{
+		RequestID:  r.head.GetRequestId(),
+		Kind:       r.head.GetKind(),
+		Rank:       decodeRank(r.head),
+		Deadline:   r.deadline,
+		Repeatable: r.head.GetRepeatable(),
+	}
+	if opts.Repeatable {
+		opts.Cancel = func() {
+			r.preempted.Store(true)
+			cancel()
+		}
+	}
+	slot, err := o.opts.Admission.Acquire(ctx, cicadacross.NewWork(opts))
+	if err != nil {
+		leave()
+		return false, r.deny(StageAdmission, err)
+	}
+	r.release = sync.OnceFunc(func() {
+		slot.Release()
+		leave()
+	})
+	return true, nil
+}
+
+// deny answers with the error of a stage.
+func (r *run) deny(stage Stage, err error) error {
+	v := r.owner.verdict(stage, err)
+	if v.Unknown {
+		return r.fail(v.Kind, err.Error())
+	}
+	refused := refusal(v.Kind, err.Error())
+	refused.RetryAfterMs = uint64(max(0, v.RetryAfter.Milliseconds())) // #nosec G115
+	refused.EarlierUnknown = v.EarlierUnknown
+	return r.notRun(refused, nil)
+}
+
+// notRun gives the key back and refuses the request.
+func (r *run) notRun(refused *peerpb.Refusal, err error) error {
+	if r.key != nil {
+		r.key.NotRun()
+	}
+	if r.release != nil {
+		r.release()
+	}
+	if refused == nil {
+		return err
+	}
+	return r.refuse(refused)
+}
+
+func (r *run) refuse(refused *peerpb.Refusal) error {
+	r.record("refuse", "kind", refused.GetKind(), "reason", refused.GetReason())
+	refused.Load = r.owner.load()
+	return r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Refusal{Refusal: refused}})
+}
+
+func (r *run) fail(kind, reason string) error {
+	r.record("fail", "kind", kind, "reason", reason)
+	failed := &peerpb.ReplyFailure{Kind: kind, Reason: reason, Load: r.owner.load()}
+	return r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Failure{Failure: failed}})
+}
+
+func (r *run) send(m *peerpb.ForwardReply) error {
+	if r.gone {
+		return nil
+	}
+	return r.session.Send(m)
+}
+
+func (r *run) record(decision string, keysAndValues ...any) {
+	r.owner.opts.Decisions.Record(r.head.GetRequestId(), decision, append(keysAndValues,
+		"side", "owner", "target", r.head.GetTarget(), "kind_of_work", r.head.GetKind())...)
+}
+
+// execute calls the upstream. All conditions that may have changed during the wait for a slot are looked at again right
+// before the call.
+func (r *run) execute(ctx context.Context) error {
+	conn, err := r.owner.opts.Upstream.Connect(ctx)
+	if err != nil {
+		return r.notRun(refusal(RefusalUpstream, err.Error()), nil)
+	}
+	if refused := r.lastCheck(ctx); refused != nil {
+		conn.Release()
+		return r.notRun(refused, nil)
+	}
+	if err := r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Started{Started: true}}); err != nil {
+		conn.Release()
+		return r.notRun(nil, err)
+	}
+	if r.key != nil {
+		r.key.Started()
+		// A request that must not repeat is finished even when its caller goes away, so that its next send gets the
+		// answer.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), r.remaining())
+		defer cancel()
+	}
+	body := newUpload(ctx, r.session, r.head)
+	defer body.close()
+	reply, err := conn.Do(ctx, r.call(body))
+	if err != nil {
+		return r.callFailed(err)
+	}
+	return r.answer(reply)
+}
+
+func (r *run) lastCheck(ctx context.Context) *peerpb.Refusal {
+	switch {
+	case r.remaining() <= 0:
+		return refusal(RefusalDeadline, "the time ended before the call")
+	case ctx.Err() != nil:
+		return refusal(RefusalCanceled, "the request was canceled before the call")
+	case r.owner.Leaving() && !r.head.GetRepeatable():
+		// Repeatable requests that waited for a slot are still served: another target would make them wait again.
+		return refusal(RefusalDraining, "the target began to drain")
+	}
+	return nil
+}
+
+func (r *run) call(body *upload) upstream.Call {
+	header := DecodeHeader(r.head.GetHeaders())
+	header[cicadacross.HeaderTimeout] = []string{strconv.FormatInt(max(1, r.remaining().Milliseconds()), 10)}
+	header[cicadacross.HeaderDepth] = []string{strconv.FormatUint(uint64(r.head.GetDepth()), 10)}
+	header[cicadacross.HeaderRequestID] = []string{r.head.GetRequestId()}
+	if r.head.GetRank() != "" {
+		header[cicadacross.HeaderRank] = []string{r.head.GetRank()}
+	}
+	call := upstream.Call{
+		Method: r.head.GetMethod(), Path: r.head.GetPath(), Host: r.head.GetService(), Header: header,
+	}
+	if !body.empty() {
+		call.Body, call.ContentLength, call.AbortBody = body, r.head.GetContentLength(), body.abort
+	}
+	return call
+}
+
+// callFailed answers a call that ended without an answer of the upstream.
+func (r *run) callFailed(err error) error {
+	if !upstream.Begun(err) {
+		return r.notRun(refusal(RefusalUpstream, err.Error()), nil)
+	}
+	return r.answerFailed(err)
+}
+
+// Fingerprint identifies a request for the quarantine: service, method, path and the first 4 KB of the body.
+func Fingerprint(head *peerpb.ForwardHead) uint64 {
+	body := head.GetBody()
+	body = body[:min(len(body), fingerprintBody)]
+	return digest(head.GetService(), head.GetMethod(), head.GetPath(), body)
+}
+
+// contentFingerprint identifies the content that belongs to a key.
+func contentFingerprint(head *peerpb.ForwardHead) uint64 {
+	length := strconv.FormatInt(head.GetContentLength(), 10)
+	return digest(head.GetMethod(), head.GetPath(), length, head.GetBody())
+}
+
+func digest(a, b, c string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [...]string{a, b, c} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+func decodeRank(head *peerpb.ForwardHead) cicadacross.Rank {
+	return cicadacross.NewRank(cicadacross.RankOptions{
+		Name:    head.GetRank(),
+		Urgency: int(head.GetUrgency()),
+		Target:  time.Duration(head.GetRankTargetMs()) * time.Millisecond, // #nosec G115
+		Worth:   head.GetWorth(),
+	})
+}
