--- /dev/null
+++ b/internal/ingress/attempt.go
@@ -0,0 +1,209 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cicadacross"
+	"cicadacross/internal/peerpb"
+	"cicadacross/internal/relay"
+)
+
+// writeGrace is how much longer than its time limit an answer may take to reach a caller that reads slowly.
+const writeGrace = time.Second
+
+// attempt is one send of a request to one target.
+type attempt struct {
+	server *Server
+	w      http.ResponseWriter
+	q      *request
+	target cicadacross.Target
+	stream *relay.Stream
+	ctx    context.Context
+	upload *uploader // nil until the owner started a request whose body is not at hand
+	total  int64
+}
+
+func (a *attempt) close() {
+	a.stream.Close()
+	if a.upload != nil {
+		a.upload.stop(a.w)
+	}
+}
+
+// run reads the owner's messages up to the head of the answer.
+func (a *attempt) run() (*refused, error) {
+	for {
+		m, err := a.stream.Recv()
+		if err != nil {
+			return a.lost(err), nil
+		}
+		switch m := m.GetMessage().(type) {
+		case *peerpb.ForwardReply_Started:
+			a.startUpload()
+		case *peerpb.ForwardReply_Refusal:
+			a.observe(m.Refusal.GetLoad())
+			return fromRefusal(m.Refusal), nil
+		case *peerpb.ForwardReply_Failure:
+			a.observe(m.Failure.GetLoad())
+			return fromFailure(m.Failure), nil
+		case *peerpb.ForwardReply_Head:
+			return a.answer(m.Head)
+		default:
+			return unknown(http.StatusBadGateway, relay.FailureBroken, "the owner sent a message out of order"), nil
+		}
+	}
+}
+
+// startUpload begins to send the rest of the body. It waits for the start of the call, so that a refused request leaves
+// the body to the next attempt.
+func (a *attempt) startUpload() {
+	if a.q.body.whole || a.upload != nil {
+		return
+	}
+	a.upload = &uploader{body: a.q.body, stream: a.stream, done: make(chan struct{})}
+	go a.upload.run()
+}
+
+func (a *attempt) observe(load *peerpb.Load) {
+	if load == nil {
+		return
+	}
+	l := relay.DecodeLoad(load)
+	a.server.opts.Balancer.Observe(a.target.Host(), l)
+	a.server.evidence.observe(a.target.Host(), !l.Draining)
+}
+
+// answer passes the answer on. Until its head is written a fault is an answer of its own; afterwards the connection is
+// cut, so that the caller doesn't take a part for the whole.
+func (a *attempt) answer(head *peerpb.ReplyHead) (*refused, error) {
+	a.total = int64(len(head.GetBody()))
+	if head.GetEnd() != nil {
+		a.observe(head.GetEnd().GetLoad())
+		if !a.whole(head, head.GetEnd()) {
+			return unknown(http.StatusBadGateway, relay.FailureBroken, "the answer has another length than announced"), nil
+		}
+	}
+	if head.GetStatus() < http.StatusOK || head.GetStatus() > 999 {
+		return unknown(http.StatusBadGateway, relay.FailureBroken, "the answer has no valid status"), nil
+	}
+	a.writeHead(head)
+	if head.GetEnd() != nil {
+		return nil, a.finish(head.GetBody(), head.GetEnd())
+	}
+	control := http.NewResponseController(a.w)
+	_ = control.SetWriteDeadline(time.Now().Add(a.server.remaining(a.q) + writeGrace))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	if err := a.pass(head, head.GetBody()); err != nil {
+		return nil, err
+	}
+	return nil, a.passRest(head)
+}
+
+func (a *attempt) passRest(head *peerpb.ReplyHead) error {
+	for {
+		m, err := a.stream.Recv()
+		if err != nil {
+			return err
+		}
+		switch m := m.GetMessage().(type) {
+		case *peerpb.ForwardReply_Chunk:
+			a.total += int64(len(m.Chunk))
+			if err := a.pass(head, m.Chunk); err != nil {
+				return err
+			}
+		case *peerpb.ForwardReply_End:
+			a.observe(m.End.GetLoad())
+			if !a.whole(head, m.End) {
+				return errAborted
+			}
+			return a.finish(nil, m.End)
+		case *peerpb.ForwardReply_Failure:
+			a.observe(m.Failure.GetLoad())
+			return errAborted
+		default:
+			return errAborted
+		}
+	}
+}
+
+// whole reports whether the length of the answer is the one that owner and upstream announced.
+func (a *attempt) whole(head *peerpb.ReplyHead, end *peerpb.ReplyEnd) bool {
+	if uint64(a.total) != end.GetLength() { // #nosec G115
+		return false
+	}
+	if relay.Bodyless(a.q.http.Method, int(head.GetStatus())) {
+		return a.total == 0
+	}
+	return head.GetContentLength() < 0 || head.GetContentLength() == a.total
+}
+
+func (a *attempt) writeHead(head *peerpb.ReplyHead) {
+	header := a.w.Header()
+	for _, h := range head.GetHeaders() {
+		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
+	}
+	// These are signals between daemons and upstreams, or would speak for this daemon.
+	delete(header, cicadacross.HeaderDraining)
+	delete(header, cicadacross.HeaderEarlier)
+	delete(header, cicadacross.HeaderReason)
+	header[cicadacross.HeaderOutcome] = []string{cicadacross.OutcomeDone.String()}
+	header[cicadacross.HeaderRequestID] = []string{a.q.id}
+	if _, ok := header["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing a type that the upstream didn't give.
+		header["Content-Type"] = nil
+	}
+	if head.GetContentLength() >= 0 && head.GetStatus() != http.StatusNoContent {
+		header["Content-Length"] = []string{strconv.FormatInt(head.GetContentLength(), 10)}
+	}
+	if a.uploading() || a.server.draining.Load() {
+		header["Connection"] = []string{"close"}
+	}
+	a.w.WriteHeader(int(head.GetStatus()))
+}
+
+// uploading reports whether the answer came before the end of the caller's body.
+func (a *attempt) uploading() bool {
+	if a.upload == nil {
+		return false
+	}
+	select {
+	case <-a.upload.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// pass writes a piece that isn't the last one. A piece of an answer of unknown length is sent at once: the upstream may
+// take its time for the next.
+func (a *attempt) pass(head *peerpb.ReplyHead, piece []byte) error {
+	if len(piece) > 0 {
+		if _, err := a.w.Write(piece); err != nil {
+			return wrapError("answer", KindAnswer, err, "the caller takes no more")
+		}
+	}
+	if head.GetContentLength() >= 0 {
+		return nil
+	}
+	if err := http.NewResponseController(a.w).Flush(); err != nil {
+		return wrapError("answer", KindAnswer, err, "the caller takes no more")
+	}
+	return nil
+}
+
+// finish writes the last piece and the trailers.
+func (a *attempt) finish(piece []byte, end *peerpb.ReplyEnd) error {
+	if len(piece) > 0 {
+		if _, err := a.w.Write(piece); err != nil {
+			return wrapError("answer", KindAnswer, err, "the caller takes no more")
+		}
+	}
+	for _, h := range end.GetTrailers() {
+		a.w.Header().Add(http.TrailerPrefix+h.GetName(), h.GetValue())
+	}
+	a.server.opts.Decisions.Record(a.q.id, "answer", "side", "ingress", "target", a.target.Name(), "length", a.total)
+	return nil
+}
--- /dev/null
+++ b/internal/ingress/body.go
@@ -0,0 +1,97 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"cicadacross/internal/relay"
+)
+
+// replaySize is how much of a body is kept for another attempt, in bytes.
+const replaySize = 64 << 10
+
+// replayBody is the body of a caller's request. Its start is read before the first attempt and kept, so that a request
+// with a short body can be sent again and no slot is held while a short body arrives.
+type replayBody struct {
+	source io.Reader
+	start  []byte
+	whole  bool // start is the whole body
+	length int64
+	passed int64 // bytes read beyond start
+}
+
+// readStart reads the start of the body.
+func readStart(r *http.Request) (*replayBody, error) {
+	b := &replayBody{source: r.Body, length: r.ContentLength}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		b.whole = true
+		return b, nil
+	}
+	if r.ContentLength > 0 && r.ContentLength <= replaySize {
+		b.start = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, b.start); err != nil {
+			return nil, wrapError("read", KindBody, err, "the body ended early")
+		}
+		b.whole = true
+		return b, nil
+	}
+	start, err := io.ReadAll(io.LimitReader(r.Body, replaySize))
+	if err != nil {
+		return nil, wrapError("read", KindBody, err, "the body ended early")
+	}
+	b.start = slices.Clip(start)
+	b.whole = len(start) < replaySize
+	if b.whole {
+		b.length = int64(len(start))
+	}
+	return b, nil
+}
+
+// replayable reports whether the body can be sent once more.
+func (b *replayBody) replayable() bool { return b.passed == 0 }
+
+// uploader sends the rest of a body while the answer is awaited.
+type uploader struct {
+	body   *replayBody
+	stream *relay.Stream
+	done   chan struct{}
+	failed bool // the caller's body broke off; valid after done
+}
+
+// run sends the rest of the body. A body that breaks off ends the stream without its end message, so that the owner
+// never takes it for whole.
+func (u *uploader) run() {
+	defer close(u.done)
+	buffer := make([]byte, relay.ChunkSize)
+	for {
+		n, err := u.body.source.Read(buffer)
+		u.body.passed += int64(n)
+		if n > 0 && u.stream.SendChunk(buffer[:n]) != nil {
+			return
+		}
+		if errors.Is(err, io.EOF) {
+			_ = u.stream.End(int64(len(u.body.start)) + u.body.passed)
+			return
+		}
+		if err != nil {
+			u.failed = true
+			u.stream.Close()
+			return
+		}
+	}
+}
+
+// stop waits for the end of run. It ends a wait for the caller's bytes by closing the read side of the connection,
+// which the HTTP server then doesn't use again.
+func (u *uploader) stop(w http.ResponseWriter) {
+	select {
+	case <-u.done:
+		return
+	default:
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	<-u.done
+}
--- /dev/null
+++ b/internal/ingress/forward.go
@@ -0,0 +1,271 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"cicadacross"
+	"cicadacross/internal/peerpb"
+	"cicadacross/internal/relay"
+)
+
+const (
+	// maxAttempts is the first attempt and at most 2 further ones.
+	maxAttempts = 3
+	// disagreeWait is the wait before a keyed request is sent again because ingress and owner had different versions.
+	disagreeWait = 50 * time.Millisecond
+	// answerMargin is kept from the owner's time limit, so that its refusal arrives before the ingress gives up.
+	answerMargin = 10 * time.Millisecond
+)
+
+// errAborted means that the answer to the caller broke off after its head was written.
+var errAborted = newError("answer", KindAnswer, "the answer broke off")
+
+// ServeHTTP serves one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := s.opts.Timers.Now()
+	if s.opts.Pause != nil {
+		arrived = arrived.Add(-s.opts.Pause.Lost())
+	}
+	if conn, ok := r.Context().Value(wireKey{}).(*wire); ok {
+		defer conn.forget()
+	}
+	q, fault := s.read(r, arrived)
+	if fault == nil {
+		fault = s.readBody(w, q)
+	}
+	if fault == nil {
+		s.budget.request()
+		var err error
+		if fault, err = s.forward(w, q); err != nil {
+			s.opts.Decisions.Record(q.id, "abort", "side", "ingress", "error", err.Error())
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if fault == nil {
+		return
+	}
+	s.opts.Decisions.Record(q.id, "refuse", "side", "ingress", "status", fault.status,
+		"outcome", fault.outcome.String(), "reason", fault.reason, "text", fault.text)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	fault.write(w, q.id)
+}
+
+// readBody reads the start of the body within the time limit of the request.
+func (s *Server) readBody(w http.ResponseWriter, q *request) *refused {
+	if q.http.ContentLength != 0 {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(s.remaining(q)))
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
+	body, err := readStart(q.http)
+	if err != nil {
+		return badRequest("body", err.Error())
+	}
+	q.body = body
+	return nil
+}
+
+func (s *Server) remaining(q *request) time.Duration { return q.deadline.Sub(s.opts.Timers.Now()) }
+
+// forward makes the attempts. The answer is written unless the first result says what to answer. The error means that
+// the answer broke off.
+func (s *Server) forward(w http.ResponseWriter, q *request) (*refused, error) {
+	headers := relay.EncodeHeader(q.http.Header)
+	if s.opts.Quarantine.Blocked(relay.Fingerprint(s.head(q, cicadacross.Target{}, headers))) {
+		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
+	}
+	var tried []string
+	var last *refused
+	for n := range maxAttempts {
+		target, ok := s.pick(q, tried)
+		switch {
+		case !ok && last == nil:
+			last = unavailable("no_target", "no target of the service takes work")
+			last.earlierUnknown = q.key != ""
+			return last, nil
+		case !ok:
+			return last, nil
+		case s.remaining(q) <= 0:
+			if last == nil {
+				last = unavailable(relay.RefusalDeadline, "no time is left")
+			}
+			return last, nil
+		case n > 0 && !s.budget.retry():
+			s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
+			return last, nil
+		}
+		head := s.head(q, target, headers)
+		head.Attempt = uint32(n) // #nosec G115
+		var err error
+		last, err = s.attempt(w, q, target, head)
+		if last == nil || err != nil || !s.retryable(q, last) {
+			return last, err
+		}
+		s.opts.Decisions.Record(q.id, "retry", "side", "ingress", "target", target.Name(), "reason", last.reason)
+		if last.reason == relay.RefusalDisagree {
+			if last = s.refresh(q, last); last.reason != relay.RefusalDisagree {
+				return last, nil
+			}
+			continue
+		}
+		tried = append(tried, target.Host())
+	}
+	return last, nil
+}
+
+// retryable reports whether another attempt may be made: the earlier one did not run, or the request may run twice and
+// its whole body is at hand.
+func (s *Server) retryable(q *request, last *refused) bool {
+	if q.http.Context().Err() != nil || s.remaining(q) <= 0 || !q.body.replayable() {
+		return false
+	}
+	switch last.reason {
+	case relay.RefusalQuarantined, relay.RefusalDeadline, relay.RefusalCanceled, relay.RefusalKeyConflict,
+		relay.FailurePreempted, relay.FailureTimeout:
+		return false
+	}
+	return last.outcome == cicadacross.OutcomeNotRun || q.key == ""
+}
+
+// refresh takes the present configuration for a request that did not run because ingress and owner disagree on the
+// owner of its key. It returns another refusal when the request has no route any more.
+func (s *Server) refresh(q *request, last *refused) *refused {
+	timer := s.opts.Timers.After(disagreeWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-q.http.Context().Done():
+		return last
+	}
+	if c := s.opts.Configuration(); c != nil {
+		q.configuration = c
+	}
+	if fault := q.findRoute(); fault != nil {
+		return fault
+	}
+	return last
+}
+
+// pick chooses the target of one attempt.
+func (s *Server) pick(q *request, tried []string) (cicadacross.Target, bool) {
+	if q.key != "" {
+		owner, ok := s.opts.KeyOwner(q.service, q.key)
+		ok = ok && !slices.Contains(tried, owner.Host())
+		if ok {
+			s.opts.Decisions.Record(q.id, "pick", "side", "ingress", "target", owner.Name(), "by", "key")
+		}
+		return owner, ok
+	}
+	targets := q.service.Targets()
+	good := make([]cicadacross.Target, 0, len(targets))
+	var doubtful []cicadacross.Target
+	for _, t := range targets {
+		switch host := t.Host(); {
+		case slices.Contains(tried, host), s.leaving(q.configuration, host):
+		case s.doubtful(host):
+			doubtful = append(doubtful, t)
+		default:
+			good = append(good, t)
+		}
+	}
+	by := "balancer"
+	target, ok := s.opts.Balancer.Pick(good)
+	if !ok {
+		// Evidence against a host may be outdated, so that it is used when there is nothing better.
+		by = "last_resort"
+		target, ok = s.opts.Balancer.Pick(doubtful)
+	}
+	if ok {
+		s.opts.Decisions.Record(q.id, "pick", "side", "ingress", "target", target.Name(),
+			"by", by, "candidates", len(good), "version", q.configuration.Version().String())
+	}
+	return target, ok
+}
+
+func (s *Server) leaving(c *cicadacross.Configuration, host string) bool {
+	return c.Leaving(host) || (s.opts.Leaving != nil && s.opts.Leaving(host))
+}
+
+func (s *Server) doubtful(host string) bool {
+	if s.opts.Alive != nil && !s.opts.Alive(host) {
+		return true
+	}
+	if s.opts.Suspect != nil && s.opts.Suspect(host) {
+		return true
+	}
+	return s.evidence.avoided(host)
+}
+
+// head builds the head of one attempt. Each attempt has its own, since an owner in this process may still read that of
+// an earlier one.
+func (s *Server) head(q *request, target cicadacross.Target, headers []*peerpb.Header) *peerpb.ForwardHead {
+	path := q.http.RequestURI
+	if !strings.HasPrefix(path, "/") {
+		path = q.http.URL.RequestURI()
+	}
+	remaining := s.remaining(q)
+	remaining -= min(answerMargin, remaining/10)
+	return &peerpb.ForwardHead{
+		RequestId:      q.id,
+		Version:        relay.EncodeVersion(q.configuration.Version()),
+		Service:        q.service.Name(),
+		Target:         target.Name(),
+		Host:           target.Host(),
+		Kind:           q.route.Name(),
+		Rank:           q.rank.Name(),
+		Urgency:        int32(q.rank.Urgency()),                  // #nosec G115
+		RankTargetMs:   uint64(q.rank.Target().Milliseconds()),   // #nosec G115
+		TimeoutMs:      uint64(max(0, remaining.Milliseconds())), // #nosec G115
+		Worth:          q.rank.Worth(),
+		Repeatable:     q.route.Repeatable(),
+		IdempotencyKey: q.key,
+		Depth:          uint32(q.depth + 1), // #nosec G115
+		Method:         q.http.Method,
+		Path:           path,
+		Headers:        headers,
+		ContentLength:  q.body.length,
+		Body:           q.body.start,
+		Complete:       q.body.whole,
+	}
+}
+
+// attempt sends the request to one target. The results are those of forward.
+func (s *Server) attempt(
+	w http.ResponseWriter, q *request, target cicadacross.Target, head *peerpb.ForwardHead,
+) (*refused, error) {
+	ctx, cancel := context.WithTimeout(q.http.Context(), s.remaining(q))
+	defer cancel()
+	defer s.opts.Balancer.Begin(target.Host())()
+	stream, err := s.opts.Client.Open(ctx, target, head)
+	if err != nil {
+		s.evidence.observe(target.Host(), false)
+		fault := unavailable("unreachable", err.Error())
+		fault.earlierUnknown = q.key != ""
+		return fault, nil
+	}
+	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx}
+	defer a.close()
+	return a.run()
+}
+
+// lost explains a stream that ended without a final message.
+func (a *attempt) lost(err error) *refused {
+	var e *relay.Error
+	if errors.As(err, &e) && e.Kind() == relay.KindRejected {
+		fault := unavailable("rejected", err.Error())
+		fault.earlierUnknown = a.q.key != ""
+		return fault
+	}
+	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
+		return unknown(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
+	}
+	a.server.evidence.observe(a.target.Host(), false)
+	return unknown(http.StatusBadGateway, relay.FailureBroken, err.Error())
+}
--- /dev/null
+++ b/internal/ingress/refused.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"cicadacross"
+	"cicadacross/internal/peerpb"
+	"cicadacross/internal/relay"
+)
+
+// refused is an answer that the daemon gives itself.
+type refused struct {
+	status     int
+	reason     string
+	text       string
+	outcome    cicadacross.Outcome
+	retryAfter time.Duration
+	// earlierUnknown says that an earlier send of the same key may have run.
+	earlierUnknown bool
+}
+
+func badRequest(reason, text string) *refused {
+	return &refused{status: http.StatusBadRequest, reason: reason, text: text, outcome: cicadacross.OutcomeNotRun}
+}
+
+func notFound(reason, text string) *refused {
+	return &refused{status: http.StatusNotFound, reason: reason, text: text, outcome: cicadacross.OutcomeNotRun}
+}
+
+func unavailable(reason, text string) *refused {
+	return &refused{status: http.StatusServiceUnavailable, reason: reason, text: text, outcome: cicadacross.OutcomeNotRun}
+}
+
+func unknown(status int, reason, text string) *refused {
+	return &refused{status: status, reason: reason, text: text, outcome: cicadacross.OutcomeUnknown}
+}
+
+// fromRefusal returns the answer to a caller whose request the owner refused.
+func fromRefusal(m *peerpb.Refusal) *refused {
+	answer := unavailable(m.GetKind(), m.GetReason())
+	answer.retryAfter = time.Duration(m.GetRetryAfterMs()) * time.Millisecond // #nosec G115
+	answer.earlierUnknown = m.GetEarlierUnknown()
+	switch m.GetKind() {
+	case relay.RefusalShed:
+		answer.status = http.StatusTooManyRequests
+		answer.retryAfter = max(answer.retryAfter, time.Second)
+	case relay.RefusalKeyConflict:
+		answer.status = http.StatusUnprocessableEntity
+	}
+	return answer
+}
+
+// fromFailure returns the answer to a caller whose request was started without a whole answer.
+func fromFailure(m *peerpb.ReplyFailure) *refused {
+	switch m.GetKind() {
+	case relay.FailureTimeout:
+		return unknown(http.StatusGatewayTimeout, m.GetKind(), m.GetReason())
+	case relay.FailurePreempted:
+		answer := unknown(http.StatusServiceUnavailable, m.GetKind(), m.GetReason())
+		answer.retryAfter = time.Second
+		return answer
+	}
+	return unknown(http.StatusBadGateway, m.GetKind(), m.GetReason())
+}
+
+// write sends the answer.
+func (f *refused) write(w http.ResponseWriter, id string) {
+	header := w.Header()
+	header[cicadacross.HeaderOutcome] = []string{f.outcome.String()}
+	header[cicadacross.HeaderReason] = []string{f.reason}
+	header[cicadacross.HeaderRequestID] = []string{id}
+	header["Content-Type"] = []string{"text/plain; charset=utf-8"}
+	if f.earlierUnknown {
+		header[cicadacross.HeaderEarlier] = []string{cicadacross.OutcomeUnknown.String()}
+	}
+	if f.retryAfter > 0 {
+		seconds := int64((f.retryAfter + time.Second - 1) / time.Second)
+		header["Retry-After"] = []string{strconv.FormatInt(seconds, 10)}
+	}
+	text := f.text + "\n"
+	header["Content-Length"] = []string{strconv.Itoa(len(text))}
+	w.WriteHeader(f.status)
+	_, _ = w.Write([]byte(text))
+}
