idempotency: model test of the at-most-once rule

It found that a gap in the history counted as closed although a host without a target still ran an older version. Such hosts of the member table must now have followed too.

--- a/internal/idempotency/history.go
+++ b/internal/idempotency/history.go
@@ -9,9 +9,10 @@
 
 // history knows which hosts owned keys by earlier configurations. The store's lock guards it.
 type history struct {
-	host   string
-	window time.Duration
-	seen   func(host string) (cicadacross.Version, bool)
+	host    string
+	window  time.Duration
+	seen    func(host string) (cicadacross.Version, bool)
+	members func() []string
 
 	current *cicadacross.Configuration
 	// epochs lists the earlier targets of each service, the oldest first.
@@ -40,8 +41,10 @@
 	asked int
 }
 
-func newHistory(host string, window time.Duration, seen func(string) (cicadacross.Version, bool)) history {
-	return history{host: host, window: window, seen: seen, epochs: make(map[string][]*epoch)}
+func newHistory(opts Options) history {
+	return history{
+		host: opts.Host, window: opts.Window, seen: opts.Seen, members: opts.Members, epochs: make(map[string][]*epoch),
+	}
 }
 
 func (h *history) apply(old, applied *cicadacross.Configuration, skipped bool, now time.Time) {
@@ -97,7 +100,9 @@
 		}
 		h.epochs[name] = epochs
 		for _, e := range epochs {
-			h.note(e.followed, e.service, e.until, now)
+			for _, t := range e.service.Targets() {
+				h.note(e.followed, t.Host(), e.until, now)
+			}
 		}
 	}
 	if h.gap == nil {
@@ -107,21 +112,20 @@
 		h.gap = nil
 		return
 	}
-	for _, service := range h.gap.until.Services() {
-		h.note(h.gap.followed, service, h.gap.until.Version(), now)
+	for _, t := range h.gap.until.Targets() {
+		h.note(h.gap.followed, t.Host(), h.gap.until.Version(), now)
+	}
+	for _, host := range h.members() {
+		h.note(h.gap.followed, host, h.gap.until.Version(), now)
 	}
 }
 
-func (h *history) note(
-	followed map[string]time.Time, service *cicadacross.Service, until cicadacross.Version, now time.Time,
-) {
-	for _, t := range service.Targets() {
-		if _, ok := followed[t.Host()]; ok {
-			continue
-		}
-		if version, ok := h.seen(t.Host()); ok && version.Compare(until) >= 0 {
-			followed[t.Host()] = now
-		}
+func (h *history) note(followed map[string]time.Time, host string, until cicadacross.Version, now time.Time) {
+	if _, ok := followed[host]; ok {
+		return
+	}
+	if version, ok := h.seen(host); ok && version.Compare(until) >= 0 {
+		followed[host] = now
 	}
 }
 
@@ -179,23 +183,35 @@
 		return true
 	}
 	last := h.gap.opened
-	if service, ok := h.gap.until.Service(id.service); ok {
-		for _, t := range service.Targets() {
-			if t.Host() == h.host {
-				continue
-			}
-			followed, ok := h.gap.followed[t.Host()]
-			if !ok {
-				return false
-			}
-			if followed.After(last) {
-				last = followed
-			}
+	for _, host := range h.possibleOwners(id.service) {
+		followed, ok := h.gap.followed[host]
+		if !ok {
+			return false
+		}
+		if followed.After(last) {
+			last = followed
 		}
 	}
 	return now.Sub(last) >= h.window || a.after(last)
 }
 
+// possibleOwners returns the hosts that may have owned keys of the service by an unknown version: its targets, and the
+// hosts that have no target any more.
+func (h *history) possibleOwners(name string) []string {
+	var list []string
+	if service, ok := h.gap.until.Service(name); ok {
+		for _, t := range service.Targets() {
+			list = append(list, t.Host())
+		}
+	}
+	for _, host := range h.members() {
+		if _, ok := h.gap.until.TargetOn(host); !ok {
+			list = append(list, host)
+		}
+	}
+	return slices.DeleteFunc(list, func(host string) bool { return host == h.host })
+}
+
 // owner returns the owner of the key by the present configuration.
 func (h *history) owner(id recordID) (cicadacross.Target, bool) {
 	if h.current == nil {
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -10,7 +10,8 @@
 // versions that it never applied. The first is solved by age: it refuses keys that may be older than itself, for one
 // repeat window. The second is the gap in its history: while the gap is open, it refuses. The gap closes when another
 // daemon has told its history, which takes one call; or, where no daemon knows it, when every target of the service
-// was seen with the daemon's version or a later one; or after OwnerObligation. A daemon that skipped versions has such
+// and every host that the configuration no longer has was seen with the daemon's version or a later one; or after
+// OwnerObligation. A daemon that skipped versions has such
 // a gap too. Comparing the parts before and after the skip wouldn't do: a skipped version may have moved a key away
 // and the next one back.
 package idempotency
@@ -53,6 +54,9 @@
 	// Seen returns the version that the host was last seen with, or false when it wasn't seen. It must not call the
 	// store. Nil means that no host was ever seen.
 	Seen func(host string) (cicadacross.Version, bool)
+	// Members returns all hosts of the member table, also those that the configuration no longer has but that may still
+	// run. It must not call the store. Nil means the hosts of the configuration.
+	Members func() []string
 	// Settled reports whether the daemon may trust its configuration, which isn't so right after a pause. It must not
 	// call the store. Nil means always.
 	Settled func() bool
@@ -71,6 +75,9 @@
 	if o.Seen == nil {
 		o.Seen = func(string) (cicadacross.Version, bool) { return cicadacross.Version{}, false }
 	}
+	if o.Members == nil {
+		o.Members = func() []string { return nil }
+	}
 	if o.Settled == nil {
 		o.Settled = func() bool { return true }
 	}
@@ -116,7 +123,7 @@
 		started:   opts.Timers.Now(),
 		records:   make(map[recordID]*record),
 		expiring:  list.New(),
-		history:   newHistory(opts.Host, opts.Window, opts.Seen),
+		history:   newHistory(opts),
 		gapOpened: make(chan struct{}, 1),
 	}
 }
