--- a/internal/register/validate_rules.go
+++ b/internal/register/validate_rules.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 	"unicode"
+
+	"golang.org/x/text/unicode/norm"
 )
 
 // The ranges of the numbers in the rules. The bounds are far above sensible values and keep sums from overflowing.
@@ -129,6 +131,8 @@
 		v.fault(p, fmt.Sprintf("the path prefix is longer than %d bytes", maxPathLength), "choose a shorter one")
 	case strings.ContainsAny(prefix, "?#") || strings.ContainsFunc(prefix, unicode.IsControl):
 		v.fault(p, fmt.Sprintf("%q contains a query, a fragment or a control character", prefix), "write the path only")
+	case !norm.NFC.IsNormalString(prefix):
+		v.fault(p, fmt.Sprintf("%q is not in Unicode form NFC", prefix), "render it again with this command")
 	case clean != prefix && clean+"/" != prefix:
 		v.fault(p, fmt.Sprintf("%q contains \"//\" or a relative segment", prefix), "write "+clean)
 	}
