--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -230,26 +231,26 @@
 [[rank]]
 name = "urgent"
 urgency = 1
-target = "300ms"
+target_time = "300ms"
 worth = 100
 
 [[rank]]
 name = "normal"
 urgency = 2
-target = "1s"
+target_time = "1s"
 worth = 10
 
 [[rank]]
 name = "bulk"
 urgency = 3
-target = "10s"
+target_time = "10s"
 worth = 1
 
 [[route]]
 name = "confirm"
 service = "%[2]s"
 method = "POST"
-path = "/confirm"
+path_prefix = "/confirm"
 rank = "urgent"
 repeatable = false
 timeout = "2s"
@@ -258,7 +259,7 @@
 name = "upload"
 service = "%[2]s"
 method = "PUT"
-path = "/upload"
+path_prefix = "/upload"
 rank = "bulk"
 repeatable = true
 timeout = "30s"
@@ -266,7 +267,7 @@
 [[route]]
 name = "read"
 service = "%[2]s"
-path = "/"
+path_prefix = "/"
 rank = "normal"
 repeatable = true
 timeout = "2s"
@@ -289,8 +290,8 @@
 func (f *Fleet) Publication(version uint64, extra string) *register.Publication {
 	f.t.Helper()
 	publication, faults := register.Parse(
-		register.Document{Name: "register.csv", Data: []byte(f.Register())},
-		register.Document{Name: "rules.toml", Data: []byte(f.Rules(version, extra))},
+		register.NewDocument("register.csv", []byte(f.Register())),
+		register.NewDocument("rules.toml", []byte(f.Rules(version, extra))),
 	)
 	assert.Equal(f.t, len(faults), 0, "%v", faults)
 	return publication
@@ -323,10 +324,35 @@
 	return true
 }
 
+// AppliedVersions returns the versions that the daemon applied in its present run, with digests as short as in its log.
+func (h *Host) AppliedVersions() []cicadacross.Version {
+	var versions []cicadacross.Version
+	for _, line := range h.Daemon.Tail(keptLines) {
+		if !strings.Contains(line, `msg="configuration applied"`) {
+			continue
+		}
+		_, rest, _ := strings.Cut(line, " version=")
+		text, _, _ := strings.Cut(rest, " ")
+		number, digest, _ := strings.Cut(text, "-")
+		parsed, err := strconv.ParseUint(number, 10, 64)
+		assert.NilError(h.fleet.t, err, line)
+		versions = append(versions, cicadacross.NewVersion(parsed, digest))
+	}
+	return versions
+}
+
+// Applied returns the last version that the daemon applied in its present run.
+func (h *Host) Applied() cicadacross.Version {
+	versions := h.AppliedVersions()
+	if len(versions) == 0 {
+		return cicadacross.Version{}
+	}
+	return versions[len(versions)-1]
+}
+
 // AppliedVersion reports whether the daemon, in its present run, has applied the version number and is ready.
 func (h *Host) AppliedVersion(version uint64) bool {
-	return h.Daemon.Logged(`msg="configuration applied"`, fmt.Sprintf("version=%d-", version)) &&
-		h.Daemon.Logged("msg=ready")
+	return h.Applied().Number() == version && h.Daemon.Logged("msg=ready")
 }
 
 // StartUpstream starts the upstream of the host.
@@ -385,3 +411,16 @@
 	Header http.Header
 	Body   string
 }
+
+// Logged reports whether any daemon logged a line with all the parts.
+func (f *Fleet) Logged(parts ...string) bool {
+	for _, h := range f.hosts {
+		if h.Daemon.Logged(parts...) {
+			return true
+		}
+	}
+	return false
+}
+
+// CutPlatform cuts the zone off from the platform only.
+func (f *Fleet) CutPlatform(zone string) { f.PlatformLink(zone).Cut() }
