fleet: distribute configurations among the daemons

One goroutine owns the control state: membership, the election of source readers, announcements, anti-entropy exchanges, fetches, cold start and the state after a pause.

peer: servers and pools take further grpc options, and a pool reconnects within 1 s instead of the library's 2 minutes, which kept the sides of a healed partition apart.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,282 @@
+package fleet_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"cicadacross"
+	"cicadacross/internal/fleet"
+	"cicadacross/internal/peer"
+	"cicadacross/internal/platform"
+	"cicadacross/internal/register"
+	standin "cicadacross/internal/standin/platform"
+	"cicadacross/internal/timer"
+)
+
+const (
+	fleetKey = "a key for the tests of the fleet"
+	// step is the time by which a cluster moves at once, below the tick so that no tick is lost.
+	step = 100 * time.Millisecond
+	// settle lets the network calls of one step end.
+	settle = 2 * time.Millisecond
+)
+
+// node is one daemon of a cluster.
+type node struct {
+	*fleet.Fleet
+	opts     fleet.Options
+	listener net.Listener
+	server   *grpc.Server
+	running  bool
+}
+
+// cluster runs several fleets in one process, on a clock that the test moves.
+type cluster struct {
+	t        *testing.T
+	clock    *timer.Manual
+	platform *standin.Server
+	source   cicadacross.Source
+	nodes    []*node
+	// applied holds the versions that each host applied, in order.
+	applied map[string]*versionLog
+}
+
+// newCluster makes n nodes in two availability zones that are not started yet. Each has the first two as seeds.
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	c := &cluster{
+		t: t, clock: clock, platform: standin.New(standin.Options{Timers: clock}), applied: make(map[string]*versionLog),
+	}
+	assert.NilError(t, c.platform.Start())
+	t.Cleanup(c.platform.Stop)
+	source, err := platform.NewSource(c.platform.Address())
+	assert.NilError(t, err)
+	c.source = source
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		c.nodes = append(c.nodes, &node{listener: listener, opts: fleet.Options{
+			Host:             fmt.Sprintf("host-%02d", i),
+			AvailabilityZone: zoneOf(i),
+			Peer:             listener.Addr().String(),
+			FleetKey:         fleetKey,
+			Source:           c.source,
+			Timers:           c.clock,
+		}})
+	}
+	for _, node := range c.nodes {
+		node.opts.Seeds = []string{c.nodes[0].opts.Peer, c.nodes[min(1, n-1)].opts.Peer}
+	}
+	t.Cleanup(c.stopAll)
+	return c
+}
+
+func zoneOf(i int) string { return []string{"bronte", "catania"}[i%2] }
+
+func (c *cluster) start(list ...int) {
+	c.t.Helper()
+	for _, i := range list {
+		n := c.nodes[i]
+		record := &versionLog{}
+		c.applied[n.opts.Host] = record
+		n.opts.OnApply = record.add
+		f, err := fleet.New(n.opts)
+		assert.NilError(c.t, err)
+		if n.listener == nil {
+			n.listener, err = net.Listen("tcp", n.opts.Peer)
+			assert.NilError(c.t, err)
+		}
+		n.Fleet, n.running = f, true
+		n.server = peer.NewServer(fleetKey, grpc.StatsHandler(f.StatsHandler()))
+		f.Register(n.server)
+		go serveLoop{n.server, n.listener}.run()
+		f.Start()
+	}
+}
+
+type serveLoop struct {
+	server   *grpc.Server
+	listener net.Listener
+}
+
+func (l serveLoop) run() { _ = l.server.Serve(l.listener) }
+
+func (c *cluster) startAll() {
+	c.t.Helper()
+	for i := range c.nodes {
+		c.start(i)
+	}
+}
+
+func (c *cluster) stop(i int) {
+	n := c.nodes[i]
+	if n.running {
+		n.server.Stop()
+		n.Stop()
+		n.running, n.listener = false, nil
+	}
+}
+
+func (c *cluster) stopAll() {
+	for i, n := range c.nodes {
+		c.stop(i)
+		if n.listener != nil {
+			_ = n.listener.Close()
+		}
+	}
+}
+
+func (c *cluster) live() []*node {
+	var list []*node
+	for _, n := range c.nodes {
+		if n.running {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// advance moves the clock and lets every node handle its ticks.
+func (c *cluster) advance(d time.Duration) {
+	for ; d > 0; d -= step {
+		c.clock.Advance(step)
+		time.Sleep(settle)
+		for _, n := range c.live() {
+			n.State()
+		}
+	}
+}
+
+// within moves the clock until the condition holds and fails the test when it doesn't hold in time.
+func (c *cluster) within(limit time.Duration, what string, condition func() bool) {
+	c.t.Helper()
+	for passed := time.Duration(0); !condition(); passed += step {
+		if passed > limit {
+			for _, n := range c.live() {
+				c.t.Logf("%s: %+v", n.opts.Host, n.State())
+			}
+			c.t.Fatalf("not within %s: %s", limit, what)
+		}
+		c.advance(step)
+	}
+}
+
+// follows reports whether every running node has the version.
+func (c *cluster) follows(version cicadacross.Version) func() bool {
+	return func() bool {
+		for _, n := range c.live() {
+			if conf := n.Configuration(); conf == nil || conf.Version() != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (c *cluster) allReady() bool {
+	for _, n := range c.live() {
+		if !n.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// publication renders a version whose register names all nodes; the remark makes contents of one number differ.
+func (c *cluster) publication(number int, remark string) *register.Publication {
+	c.t.Helper()
+	var rows strings.Builder
+	rows.WriteString("service,target,host,region,availability_zone,upstream,peer,caller,operator,slots,connections\n")
+	for i, n := range c.nodes {
+		const row = "magazzino,magazzino-%d,%s,sicilia-est,%s,127.1.0.%d:8080,%s,127.1.0.%d:8000,127.1.0.%d:9000,10,110\n"
+		fmt.Fprintf(&rows, row, i, n.opts.Host, zoneOf(i), i+1, n.opts.Peer, i+1, i+1)
+	}
+	rules := fmt.Sprintf(`version = %d
+[[rank]]
+name = "lookup"
+urgency = 1
+target_time = "300ms"
+worth = 10
+[[route]]
+name = "stock%s"
+service = "magazzino"
+method = "GET"
+path_prefix = "/stock"
+rank = "lookup"
+repeatable = true
+timeout = "1s"
+`, number, remark)
+	p, faults := register.Parse(register.NewDocument("register.csv", []byte(rows.String())),
+		register.NewDocument("rules.toml", []byte(rules)))
+	assert.Equal(c.t, len(faults), 0, "%v", faults)
+	return p
+}
+
+func (c *cluster) publish(p *register.Publication) { c.platform.SetAll(valuesOf(p)) }
+
+// valuesOf returns what the operator publishes.
+func valuesOf(p *register.Publication) map[string][]byte {
+	values := map[string][]byte{cicadacross.KeyManifest: p.Manifest()}
+	for digest, data := range p.Parts() {
+		values[cicadacross.KeyPartPrefix+digest] = data
+	}
+	return values
+}
+
+// versionLog records what a node applied.
+type versionLog struct {
+	list []cicadacross.Version
+	bad  bool
+}
+
+func (l *versionLog) add(previous, next *cicadacross.Configuration) {
+	if previous != nil && next.Version().Compare(previous.Version()) <= 0 {
+		l.bad = true
+	}
+	l.list = append(l.list, next.Version())
+}
+
+// assertNoRevert fails the test when any node ever went back. The nodes must be stopped.
+func (c *cluster) assertNoRevert() {
+	c.t.Helper()
+	c.stopAll()
+	for host, record := range c.applied {
+		assert.Assert(c.t, !record.bad, "%s: %v", host, record.list)
+	}
+}
+
+// Guards against a fleet that doesn't come up, or doesn't follow a change, with all daemons starting at once.
+func TestFleetFollowsThePlatform(t *testing.T) {
+	c := newCluster(t, 8)
+	first := c.publication(1, "")
+	c.publish(first)
+	c.startAll()
+	c.within(10*time.Second, "first version", c.follows(first.Version()))
+	c.within(5*time.Second, "ready", c.allReady)
+	second := c.publication(2, "")
+	c.publish(second)
+	c.within(5*time.Second, "second version", c.follows(second.Version()))
+	c.advance(5 * time.Second)
+	readers := 0
+	for _, n := range c.live() {
+		if n.State().Reader {
+			readers++
+		}
+		assert.Assert(t, n.Settled())
+	}
+	assert.Equal(t, readers, 4, "two readers in each of two availability zones")
+	c.assertNoRevert()
+}
+
+func replaceOnce(t *testing.T, text, old, replacement string) string {
+	t.Helper()
+	assert.Equal(t, strings.Count(text, old), 1)
+	return strings.Replace(text, old, replacement, 1)
+}
--- /dev/null
+++ b/internal/fleet/spread.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"cicadacross"
+	"cicadacross/internal/peerpb"
+)
+
+// announceTask tells one peer of the applied version or of leaving hosts.
+type announceTask struct {
+	fleet   *Fleet
+	host    string
+	address string
+	request *peerpb.AnnounceRequest
+}
+
+// announceDone is the answer of the peer.
+type announceDone struct {
+	host    string
+	address string
+	version cicadacross.Version
+}
+
+func (t *announceTask) perform(ctx context.Context) message {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	conn, err := t.fleet.pool.Conn(t.address)
+	if err != nil {
+		return nil
+	}
+	reply, err := peerpb.NewDistributionClient(conn).Announce(ctx, t.request)
+	if err != nil {
+		// The exchange finds out whether the peer is alive and repairs what it missed.
+		t.fleet.meter.announceFailures.Inc(1)
+		return nil
+	}
+	version, err := decodeVersion(reply.GetVersion())
+	if err != nil {
+		return nil
+	}
+	return announceDone{host: t.host, address: t.address, version: version}
+}
+
+func (d announceDone) handle(f *Fleet) {
+	now := f.timers.Now()
+	f.sawVersion(now, d.version, d.host)
+	if d.version.Compare(f.version()) > 0 {
+		f.want(now, d.version, d.host, d.address)
+	}
+}
+
+// announceVersion tells some peers of the applied version, but not the one that it came from.
+func (f *Fleet) announceVersion(from string) {
+	for _, m := range f.announcees(from) {
+		f.announce(m, nil)
+	}
+}
+
+// announceNews tells some peers that hosts leave, and the hosts themselves.
+func (f *Fleet) announceNews(now time.Time, hosts []string) {
+	var news []*peerpb.Member
+	for _, host := range hosts[:min(len(hosts), maxNews)] {
+		switch m := f.members.get(host); {
+		case host == f.opts.Host:
+			p := f.selfRecord(false)
+			p.Version, p.ListedLeavingAgeMs = nil, encodeOptionalAge(now, f.selfListed)
+			news = append(news, p)
+		case m != nil:
+			p := f.memberRecord(now, m, false)
+			p.Version = nil
+			news = append(news, p)
+		}
+	}
+	told := make(map[string]bool)
+	for _, m := range f.announcees("") {
+		told[m.host] = true
+		f.announce(m, news)
+	}
+	for _, host := range hosts[:min(len(hosts), maxNews)] {
+		if m := f.members.get(host); m != nil && m.peer != "" && !told[host] && f.readers.active {
+			f.announce(m, news)
+		}
+	}
+}
+
+func (f *Fleet) announce(m *member, news []*peerpb.Member) {
+	f.meter.announces.Inc(1)
+	f.begin(&announceTask{
+		fleet:   f,
+		host:    m.host,
+		address: m.peer,
+		request: &peerpb.AnnounceRequest{
+			Version: encodeVersion(f.version()), Host: f.opts.Host, Peer: f.opts.Peer, News: news,
+		},
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -25,6 +26,14 @@
 	keepaliveTimeout = 3 * time.Second
 	keepaliveMinimum = 5 * time.Second
 
+	// A peer that returns is reached again within reconnectMax. The default of the library is 2 minutes, which would keep
+	// the sides of a partition apart long after it has healed.
+	reconnectBase   = 50 * time.Millisecond
+	reconnectFactor = 1.6
+	reconnectJitter = 0.2
+	reconnectMax    = time.Second
+	connectTimeout  = time.Second
+
 	// maxMessage holds one value of the platform's service and its envelope.
 	maxMessage = 1<<20 + 1<<16
 )
@@ -33,15 +42,15 @@
 const MinKeyLength = 16
 
 // NewServer returns a grpc server that accepts calls with the fleet key only.
-func NewServer(fleetKey string) *grpc.Server {
+func NewServer(fleetKey string, options ...grpc.ServerOption) *grpc.Server {
 	check := keyCheck{key: []byte(fleetKey)}
-	return grpc.NewServer(
+	return grpc.NewServer(append(options,
 		grpc.UnaryInterceptor(check.unary),
 		grpc.StreamInterceptor(check.stream),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinimum, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-	)
+	)...)
 }
 
 type keyCheck struct{ key []byte }
@@ -87,17 +96,26 @@
 }
 
 // NewPool returns an empty pool whose calls carry the fleet key.
-func NewPool(fleetKey string) *Pool {
+func NewPool(fleetKey string, options ...grpc.DialOption) *Pool {
 	return &Pool{
 		conns: make(map[string]*grpc.ClientConn),
-		options: []grpc.DialOption{
+		options: append([]grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithPerRPCCredentials(keyCredentials{key: fleetKey}),
 			grpc.WithDisableRetry(),
 			grpc.WithDisableServiceConfig(),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-		},
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff: backoff.Config{
+					BaseDelay:  reconnectBase,
+					Multiplier: reconnectFactor,
+					Jitter:     reconnectJitter,
+					MaxDelay:   reconnectMax,
+				},
+				MinConnectTimeout: connectTimeout,
+			}),
+		}, options...),
 	}
 }
 
