--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -10,7 +10,8 @@
 	"cicadacross/integration/harness"
 )
 
-// Guards the whole path: what is published reaches every daemon, and a request to any daemon is answered by an upstream.
+// Guards the whole path: what is published reaches every daemon, and a request to any daemon is answered by an
+// upstream.
 func TestRequestToAnyDaemonIsAnswered(t *testing.T) {
 	f := harness.NewFleet(t, harness.Options{})
 	for _, h := range f.Hosts("") {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,8 @@
 	if writer == nil {
 		writer = io.Discard
 	}
-	d.log = journal.New(journal.Options{Writer: writer, Level: logLevels[settings.LogLevel]}).WithValues("host", settings.Host)
+	log := journal.New(journal.Options{Writer: writer, Level: logLevels[settings.LogLevel]})
+	d.log = log.WithValues("host", settings.Host)
 	if err := d.buildControl(); err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,8 +28,12 @@
 	keepaliveTimeout = 3 * time.Second
 	keepaliveMinimum = 5 * time.Second
 
-	connectDelay    = 100 * time.Millisecond
-	maxConnectDelay = 2 * time.Second
+	// A peer that returns is reached again within reconnectMax. The default of the library is 2 minutes, which would keep
+	// the sides of a partition apart long after it has healed.
+	reconnectBase   = 50 * time.Millisecond
+	reconnectFactor = 1.6
+	reconnectJitter = 0.2
+	reconnectMax    = time.Second
 	connectTimeout  = time.Second
 
 	// maxMessage holds one value of the platform's service and its envelope.
@@ -40,15 +44,15 @@
 const MinKeyLength = 16
 
 // NewServer returns a grpc server that accepts calls with the fleet key only.
-func NewServer(fleetKey string) *grpc.Server {
+func NewServer(fleetKey string, options ...grpc.ServerOption) *grpc.Server {
 	check := keyCheck{key: []byte(fleetKey)}
-	return grpc.NewServer(
+	return grpc.NewServer(append(options,
 		grpc.UnaryInterceptor(check.unary),
 		grpc.StreamInterceptor(check.stream),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveMinimum, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-	)
+	)...)
 }
 
 type keyCheck struct{ key []byte }
@@ -94,7 +98,7 @@
 }
 
 // NewPool returns an empty pool whose calls carry the fleet key.
-func NewPool(fleetKey string, extra ...grpc.DialOption) *Pool {
+func NewPool(fleetKey string, options ...grpc.DialOption) *Pool {
 	return &Pool{
 		conns: make(map[string]*grpc.ClientConn),
 		options: append([]grpc.DialOption{
@@ -104,12 +108,16 @@
 			grpc.WithDisableServiceConfig(),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-			// After an outage a peer is tried again within the time in which it should converge.
 			grpc.WithConnectParams(grpc.ConnectParams{
-				Backoff:           backoff.Config{BaseDelay: connectDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxConnectDelay},
+				Backoff: backoff.Config{
+					BaseDelay:  reconnectBase,
+					Multiplier: reconnectFactor,
+					Jitter:     reconnectJitter,
+					MaxDelay:   reconnectMax,
+				},
 				MinConnectTimeout: connectTimeout,
 			}),
-		}, extra...),
+		}, options...),
 	}
 }
 
