operator: endpoint, decision log, status and explain

status asks every daemon itself and judges a host that doesn't answer by what its peers say, so that a network fault at the operator's desk does not look like a dead host.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"cicadacross/internal/failure"
 )
@@ -37,28 +38,32 @@
 		Writer:    opts.Out,
 		ErrWriter: opts.Err,
 		Suggest:   true,
-		Commands:  []*cli.Command{newCheck(), newRender(), newDiff()},
+		Commands:  []*cli.Command{newCheck(), newRender(), newDiff(), newStatus(), newExplain()},
 		// Run decides on the exit code; the library would end the process.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action:         refuseUnknownCommand,
 	}
 	for _, sub := range root.Commands {
+		if sub.ArgsUsage == "" {
+			sub.Action = refuseArguments(sub)
+		}
 		sub.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return wrapError(sub.Name, KindSetting, err, "see cicadacross %s --help", sub.Name)
 		}
-		sub.Action = refuseArguments(sub)
 	}
 	return root
 }
 
 // Run runs the command with the arguments, the first of which is its name, and returns the exit code.
 func Run(ctx context.Context, args []string, opts Options) int {
+	// go-zero logs each call to standard output, where the answers go.
+	logx.Disable()
 	err := New(opts).Run(ctx, args)
 	if err == nil {
 		return ExitGood
 	}
 	_, _ = fmt.Fprintf(opts.Err, "cicadacross: %v\n", err)
-	if kind, ok := failure.KindOf[Kind](err); ok && kind == KindFaults {
+	if kind, ok := failure.KindOf[Kind](err); ok && (kind == KindFaults || kind == KindNotFollowed) {
 		return ExitBad
 	}
 	return ExitFailed
--- a/internal/command/error.go
+++ b/internal/command/error.go
@@ -13,6 +13,10 @@
 	KindFile Kind = "file"
 	// KindFaults means that the register, the rules or a rendered version has faults.
 	KindFaults Kind = "faults"
+	// KindUnreachable means that no daemon answered.
+	KindUnreachable Kind = "unreachable"
+	// KindNotFollowed means that hosts lag, or that the fleet knows nothing of a request.
+	KindNotFollowed Kind = "not_followed"
 )
 
 // Error is the error type of this package.
--- /dev/null
+++ b/internal/operator/status_test.go
@@ -0,0 +1,164 @@
+package operator_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"cicadacross/internal/failure"
+	"cicadacross/internal/operator"
+)
+
+func status(t *testing.T, expected uint64, seed *fakeDaemon) *operator.Report {
+	t.Helper()
+	// The first address doesn't answer: one daemon that answers must be enough.
+	report, err := newClient(t, "127.0.0.1:1", seed.address()).Status(t.Context(), expected)
+	assert.NilError(t, err)
+	return report
+}
+
+// Guards against a report of success while a published version is not in force, or of failure when it is.
+func TestStatusOfAFleetThatFollowed(t *testing.T) {
+	a := newDaemon(t, "a1", "bronte", newVersion)
+	b := newDaemon(t, "b1", "catania", newVersion)
+	a.state.Reader = true
+	b.state.SourceAge = nil
+	connect(a, b)
+	r := status(t, 8, b)
+	assert.Equal(t, r.String(), `newest version 8-bb, applied first 20s ago
+bronte: 1 of 1 hosts follow; source heard 3s ago, read by a1
+catania: 1 of 1 hosts follow; source not heard, no reader
+2 of 2 hosts follow`)
+	assert.Assert(t, r.Followed)
+
+	r = status(t, 9, b)
+	assert.Assert(t, !r.Followed)
+	assert.Assert(t, is.Contains(r.String(), "a1 lagging: has version 8-bb; number 9 is expected"))
+}
+
+// Guards against a host that lags without being named, and against a wrong reason, by which an operator would look for
+// the fault in the wrong place.
+func TestStatusNamesEachReason(t *testing.T) {
+	age := operator.NewAge(time.Minute)
+	cases := []struct {
+		name     string
+		prepare  func(d *fakeDaemon, m *operator.Member)
+		want     string
+		followed bool
+	}{
+		{"lagging", func(d *fakeDaemon, _ *operator.Member) { d.state.Version = oldVersion },
+			"b1 lagging for 20s: has version 7-aa", false},
+		{"cut off", func(d *fakeDaemon, _ *operator.Member) { d.state.Version, d.state.PeersAge = oldVersion, age },
+			"b1 cut off for 1m0s: has version 7-aa and exchanges with no peer", false},
+		{"refusing", func(d *fakeDaemon, _ *operator.Member) {
+			d.state.Version = oldVersion
+			d.state.Refused = &operator.Refusal{Version: newVersion, Reason: "no route leads to service x", Age: *age}
+		}, "b1 refusing for 1m0s: refuses version 8-bb: no route leads to service x; publish a corrected version", false},
+		{"conflict", func(d *fakeDaemon, _ *operator.Member) { d.state.Version = version(8, "ab") },
+			"conflict: version 8 was published with 2 contents; publish version 9", false},
+		{"not ready", func(d *fakeDaemon, _ *operator.Member) { d.state.Ready = false }, "b1 not ready", false},
+		{"paused", func(d *fakeDaemon, _ *operator.Member) { d.state.Paused = true }, "b1 paused", false},
+		{"wrong host", func(d *fakeDaemon, _ *operator.Member) { d.state.Host = "x9" }, "b1 wrong host: host x9", false},
+		{"dead", func(d *fakeDaemon, m *operator.Member) { d.server.Close(); m.HeardAge = age },
+			"b1 dead for 1m0s: not heard by any peer; from here: ", false},
+		{"never heard", func(d *fakeDaemon, m *operator.Member) { d.server.Close(); m.HeardAge = nil },
+			"b1 dead: was never heard by any peer", false},
+		{"unreachable and lagging", func(d *fakeDaemon, m *operator.Member) { d.server.Close(); m.Version = oldVersion },
+			"b1 lagging for 20s: has version 7-aa", false},
+		{"unreachable", func(d *fakeDaemon, _ *operator.Member) { d.server.Close() },
+			"b1 unreachable from here: heard by peers 1s ago", true},
+		{"draining", func(d *fakeDaemon, _ *operator.Member) { d.state.Draining, d.state.Ready = true, false },
+			"b1 draining", true},
+		{"left", func(d *fakeDaemon, m *operator.Member) { d.server.Close(); m.HeardAge, m.Leaving = age, true },
+			"b1 left for 1m0s", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newDaemon(t, "a1", "bronte", newVersion), newDaemon(t, "b1", "catania", newVersion)
+			m := b.member()
+			c.prepare(b, &m)
+			a.members = []operator.Member{a.member(), m}
+			b.members = a.members
+			r := status(t, 0, a)
+			assert.Assert(t, is.Contains(r.String(), c.want))
+			assert.Equal(t, r.Followed, c.followed)
+		})
+	}
+}
+
+// Guards against hosts that are left out because the daemon first asked has an older configuration.
+func TestStatusFindsHostsThatTheFirstDaemonDoesNotKnow(t *testing.T) {
+	a, b := newDaemon(t, "a1", "bronte", oldVersion), newDaemon(t, "b1", "catania", newVersion)
+	c := newDaemon(t, "c1", "adrano", newVersion)
+	connect(a, b)
+	b.members = append(b.members[:2:2], c.member())
+	assert.Assert(t, is.Contains(status(t, 0, a).String(), "adrano: 1 of 1 hosts follow"))
+}
+
+// Guards against a command that trusts whatever answers at a wrong address.
+func TestStatusSurvivesAnswersOfOthers(t *testing.T) {
+	a, b := newDaemon(t, "a1", "bronte", newVersion), newDaemon(t, "b1", "catania", newVersion)
+	answers := map[string]string{"text": "<html>", "large": strings.Repeat(" ", 9<<20), "type": `{"host":1}`}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(answer))
+			}))
+			defer other.Close()
+			m := b.member()
+			m.Operator, m.HeardAge = other.Listener.Addr().String(), nil
+			a.members = []operator.Member{a.member(), m}
+			assert.Assert(t, is.Contains(status(t, 0, a).String(), "b1 dead"))
+		})
+	}
+}
+
+// Guards against an answer of "followed" when nothing answered, and against an address that is ignored.
+func TestStatusNeedsOneAnswer(t *testing.T) {
+	_, err := newClient(t, "127.0.0.1:1").Status(t.Context(), 0)
+	kind, _ := failure.KindOf[operator.Kind](err)
+	assert.Equal(t, kind, operator.KindUnreachable)
+	_, err = operator.NewClient(operator.ClientOptions{Addresses: []string{"bronte-1"}})
+	kind, _ = failure.KindOf[operator.Kind](err)
+	assert.Equal(t, kind, operator.KindAddress)
+
+	lonely := newDaemon(t, "a1", "bronte", operator.Version{})
+	assert.Assert(t, !status(t, 0, lonely).Followed)
+}
+
+// Guards against a state whose JSON form loses or changes a field on its way to the operator.
+func TestStateSurvivesJSON(t *testing.T) {
+	d := newDaemon(t, "a1", "bronte", newVersion)
+	d.state.Incarnation = 1 << 62
+	d.state.Refused = &operator.Refusal{Version: oldVersion, Reason: "r", Age: operator.Age(1500 * time.Microsecond)}
+	d.state.Conflicts = []operator.Conflict{{Number: 7, Digests: []string{"aa", "ab"}}}
+	connect(d)
+	want := d.state
+	want.Members = d.members
+	var got operator.State
+	assert.NilError(t, json.Unmarshal(get(t, d, "/v1/state"), &got))
+	assert.Equal(t, got.Refused.Version, oldVersion)
+	assert.Equal(t, got.Refused.Age, want.Refused.Age)
+	again, err := json.Marshal(got)
+	assert.NilError(t, err)
+	expected, err := json.Marshal(want)
+	assert.NilError(t, err)
+	assert.Equal(t, string(again), string(expected))
+}
+
+func get(t *testing.T, d *fakeDaemon, path string) []byte {
+	t.Helper()
+	response, err := http.Get("http://" + d.address() + path)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	var body json.RawMessage
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&body))
+	return body
+}
