--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -17,6 +19,7 @@
 	"cicadacross"
 	"cicadacross/internal/register"
 	"cicadacross/internal/standin/platform"
+	"cicadacross/internal/standin/upstream"
 )
 
 // The ports of a host. Every host of every test has an IP address of its own in 127.0.0.0/8.
@@ -209,11 +212,14 @@
 	}
 }
 
-// Register returns the register of the fleet as CSV.
-func (f *Fleet) Register() string {
+// Register returns the register of the fleet as CSV, without the named hosts.
+func (f *Fleet) Register(without ...string) string {
 	var b strings.Builder
 	b.WriteString("service,target,host,region,availability_zone,upstream,peer,caller,operator,slots,connections\n")
 	for _, h := range f.hosts {
+		if slices.Contains(without, h.name) {
+			continue
+		}
 		fmt.Fprintf(&b, "%s,%s-target,%s,region-1,%s,%s,%s,%s,%s,%d,100\n", Service, h.name, h.name, h.zone,
 			h.address(upstreamPort), h.address(entrancePort), h.address(callerPort), h.address(operatorPort),
 			f.options.Slots)
@@ -286,11 +292,12 @@
 // PlatformControl returns the control client of the platform's stand-in.
 func (f *Fleet) PlatformControl() *platform.Control { return f.control }
 
-// Publication renders the register and the rules with the version number; extra is appended to the rules.
-func (f *Fleet) Publication(version uint64, extra string) *register.Publication {
+// Publication renders the register, without the named hosts, and the rules with the version number; extra is appended
+// to the rules.
+func (f *Fleet) Publication(version uint64, extra string, without ...string) *register.Publication {
 	f.t.Helper()
 	publication, faults := register.Parse(
-		register.NewDocument("register.csv", []byte(f.Register())),
+		register.NewDocument("register.csv", []byte(f.Register(without...))),
 		register.NewDocument("rules.toml", []byte(f.Rules(version, extra))),
 	)
 	assert.Equal(f.t, len(faults), 0, "%v", faults)
@@ -305,6 +312,30 @@
 	return publication.Version()
 }
 
+// PublishWithout publishes a register that lacks the named hosts.
+func (f *Fleet) PublishWithout(version uint64, hosts ...string) {
+	f.t.Helper()
+	values := Values(f.Publication(version, "", hosts...))
+	assert.NilError(f.t, f.control.Publish(context.Background(), values))
+}
+
+// PublishHosts publishes the platform's host list with the named hosts as leaving and all others as live.
+func (f *Fleet) PublishHosts(leaving ...string) {
+	f.t.Helper()
+	list := struct {
+		Live    []string `json:"live"`
+		Leaving []string `json:"leaving"`
+	}{Leaving: leaving}
+	for _, h := range f.hosts {
+		if !slices.Contains(leaving, h.name) {
+			list.Live = append(list.Live, h.name)
+		}
+	}
+	data, err := json.Marshal(list)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, f.control.Publish(context.Background(), map[string][]byte{cicadacross.KeyHosts: data}))
+}
+
 // Values returns the keys and values of a publication.
 func Values(publication *register.Publication) map[string][]byte {
 	values := map[string][]byte{cicadacross.KeyManifest: publication.Manifest()}
@@ -387,7 +418,7 @@
 
 // Request sends a request to the daemon of the host and returns the whole answer.
 func (h *Host) Request(ctx context.Context, method, path, body string, header map[string]string) (Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.address(callerPort)+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, h.URL(path), strings.NewReader(body))
 	if err != nil {
 		return Answer{}, err
 	}
@@ -405,6 +436,23 @@
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: string(data)}, err
 }
 
+// URL returns the URL of a path at the daemon's address for callers.
+func (h *Host) URL(path string) string { return "http://" + h.address(callerPort) + path }
+
+// PeerAddress returns the address at which the daemon itself serves other daemons, behind no fault.
+func (h *Host) PeerAddress() string { return h.address(peerPort) }
+
+// Chain sends a request whose upstream calls the same daemon again, until calls requests are in progress at once.
+func (h *Host) Chain(ctx context.Context, calls int) (Answer, error) {
+	header := map[string]string{}
+	if calls > 1 {
+		header[upstream.HeaderCall] = h.URL("/")
+		header[upstream.HeaderService] = Service
+		header[upstream.HeaderTimes] = strconv.Itoa(calls - 1)
+	}
+	return h.Request(ctx, http.MethodGet, "/", "", header)
+}
+
 // Answer is the answer to a request.
 type Answer struct {
 	Status int
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -18,6 +18,8 @@
 const (
 	HeaderCall    = "X-Standin-Call"
 	HeaderService = "X-Standin-Service"
+	// HeaderTimes is how many calls the chain still makes; absent means one.
+	HeaderTimes = "X-Standin-Times"
 )
 
 // route serves the control interface, the health endpoint and requests.
@@ -67,10 +69,6 @@
 	place := s.counts.begin(r)
 	completed := false
 	defer func() { s.counts.end(completed, r.Context().Err() != nil) }()
-	if b.CloseAfterRequest {
-		_ = conn.Close()
-		return
-	}
 	if r.URL.Path == b.CrashPath {
 		s.crash()
 		return
@@ -79,6 +77,10 @@
 	if err != nil {
 		return
 	}
+	if b.CloseAfterRequest {
+		_ = conn.Close()
+		return
+	}
 	if !s.enter(r.Context(), b) {
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -201,8 +203,12 @@
 func pattern(size int) []byte {
 	const prime = 251
 	data := make([]byte, size)
-	for i := range data {
-		data[i] = byte(i % prime)
+	filled := 0
+	for ; filled < min(size, prime); filled++ {
+		data[filled] = byte(filled)
+	}
+	for filled < size {
+		filled += copy(data[filled:], data[:filled])
 	}
 	return data
 }
@@ -220,6 +226,11 @@
 			next.Header[name] = values
 		}
 	}
+	if times, _ := strconv.Atoi(r.Header.Get(HeaderTimes)); times > 1 {
+		next.Header.Set(HeaderCall, r.Header.Get(HeaderCall))
+		next.Header.Set(HeaderService, r.Header.Get(HeaderService))
+		next.Header.Set(HeaderTimes, strconv.Itoa(times-1))
+	}
 	response, err := s.client.Do(next)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
