--- a/internal/operator/decisions.go
+++ b/internal/operator/decisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,9 +17,10 @@
 	defaultDecisions = 16_384
 	// defaultLines is the number of log lines a second.
 	defaultLines = 100
-	// The bounds of one decision keep a long header of a caller from taking the memory of all others.
-	maxReasons    = 16
-	maxTextLength = 256
+	// The bounds of one decision keep the whole log under 20 MB whatever callers send.
+	maxRequestID = 128
+	maxReasons   = 16
+	maxText      = 1024
 )
 
 // Decision is one routing or placement decision.
@@ -85,11 +87,15 @@
 
 // Record implements cicadacross.Decisions. Values are turned into text at once, since they may change later.
 func (l *DecisionLog) Record(requestID, decision string, keysAndValues ...any) {
+	requestID = cut(requestID, maxRequestID)
 	entry := decisionEntry{requestID: requestID, decision: decision, at: l.timers.Now()}
-	for i := 0; i < len(keysAndValues) && len(entry.reasons) < maxReasons; i += 2 {
-		reason := Reason{Key: cut(fmt.Sprint(keysAndValues[i]))}
+	left := maxText
+	for i := 0; i < len(keysAndValues) && len(entry.reasons) < maxReasons && left > 0; i += 2 {
+		reason := Reason{Key: cut(fmt.Sprint(keysAndValues[i]), left)}
+		left -= len(reason.Key)
 		if i+1 < len(keysAndValues) {
-			reason.Value = cut(fmt.Sprint(keysAndValues[i+1]))
+			reason.Value = cut(fmt.Sprint(keysAndValues[i+1]), max(left, 0))
+			left -= len(reason.Value)
 		}
 		entry.reasons = append(entry.reasons, reason)
 	}
@@ -127,6 +133,7 @@
 
 // Decisions returns the decisions of the request that are still kept, the earliest first.
 func (l *DecisionLog) Decisions(requestID string) []Decision {
+	requestID = cut(requestID, maxRequestID)
 	now := l.timers.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -140,9 +147,10 @@
 	return decisions
 }
 
-func cut(text string) string {
-	if len(text) > maxTextLength {
-		return text[:maxTextLength] + "..."
+// cut returns the text, or about its first bytes when it is longer. The copy lets go of the memory of the whole text.
+func cut(text string, most int) string {
+	if len(text) <= most {
+		return text
 	}
-	return text
+	return strings.ToValidUTF8(text[:most], "") + "..."
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -28,9 +28,11 @@
 
 // HandlerOptions configures the endpoint.
 type HandlerOptions struct {
-	Fleet     Fleet
+	Fleet Fleet
+	// Decisions may be nil; the endpoint then has none.
 	Decisions *DecisionLog
-	Metrics   metrics.Registry
+	// Metrics may be nil; the endpoint then has none.
+	Metrics metrics.Registry
 }
 
 // Handler serves the operators' endpoint. It only reads and is safe for concurrent use.
@@ -39,7 +41,12 @@
 }
 
 // NewHandler returns the endpoint.
-func NewHandler(opts HandlerOptions) *Handler { return &Handler{opts: opts} }
+func NewHandler(opts HandlerOptions) *Handler {
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewRegistry()
+	}
+	return &Handler{opts: opts}
+}
 
 // Routes returns the routes to mount on a server.
 func (h *Handler) Routes() []rest.Route {
@@ -95,12 +102,11 @@
 		return
 	}
 	state := h.opts.Fleet.State()
-	writeJSON(w, decisionsAnswer{
-		Host:             state.Host,
-		AvailabilityZone: state.AvailabilityZone,
-		Request:          id,
-		Decisions:        h.opts.Decisions.Decisions(id),
-	})
+	answer := decisionsAnswer{Host: state.Host, AvailabilityZone: state.AvailabilityZone, Request: id}
+	if h.opts.Decisions != nil {
+		answer.Decisions = h.opts.Decisions.Decisions(id)
+	}
+	writeJSON(w, answer)
 }
 
 func (h *Handler) metrics(w http.ResponseWriter, _ *http.Request) {
--- a/internal/register/document.go
+++ b/internal/register/document.go
@@ -64,7 +64,8 @@
 	field   string
 }
 
-// locate returns the line of the field or, for a missing field, of its record.
+// locate returns the line of the field or, for a missing field, of its record. Records of an inline list have the line
+// of the list.
 func (r *reader) locate(p place) (file string, line int) {
 	file = r.rules
 	if p.section == sectionTarget {
@@ -73,7 +74,10 @@
 	if line, ok := r.lines[p]; ok {
 		return file, line
 	}
-	return file, r.lines[place{section: p.section, index: p.index}]
+	if line, ok := r.lines[place{section: p.section, index: p.index}]; ok {
+		return file, line
+	}
+	return file, r.lines[place{section: sectionRules, field: p.section}]
 }
 
 // fault adds a fault of a field. A field has at most one fault, since a second one follows from the first.
