--- a/internal/operator/decisions.go
+++ b/internal/operator/decisions.go
@@ -17,7 +17,7 @@
 	defaultDecisions = 16_384
 	// defaultLines is the number of log lines a second.
 	defaultLines = 100
-	// The bounds of one decision keep the whole log under 20 MB whatever callers send.
+	// The bounds of one decision, in bytes of text, bound the memory of the whole log whatever callers send.
 	maxRequestID = 128
 	maxReasons   = 16
 	maxText      = 1024
