--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -410,7 +410,10 @@
 		"--listen-caller=" + h.address(callerPort), "--listen-peer=" + h.address(peerPort),
 		"--advertise-peer=" + h.address(entrancePort), "--listen-operator=" + h.address(operatorPort),
 		"--platform=" + f.PlatformLink(h.zone).proxy.Listen, "--upstream=" + h.address(upstreamPort),
-		"--seeds=" + strings.Join(seeds, ","), "--decision-lines=10000",
+		"--decision-lines=10000",
+	}
+	for _, seed := range seeds {
+		flags = append(flags, "--seeds="+seed)
 	}
 	h.Daemon = Start(f.t, "daemon "+h.name, Daemon, []string{"CICADACROSS_FLEET_KEY=" + FleetKey},
 		append(flags, f.options.DaemonFlags...)...)
