ingress, fleet: confine a request that crashes upstreams to two targets

Cause: one repeatable request that crashes its upstream was retried on two more targets by the ingress daemon itself, and the suspects reached other daemons only with the next exchange. Ruled out: the crash detection, which told the quarantine of each crash in time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,7 +105,9 @@
 	if err != nil {
 		return wrapError("build", KindPlugin, err, "source")
 	}
-	d.suspects = quarantine.New(quarantine.Options{Host: d.settings.Host, Timers: d.timers})
+	d.suspects = quarantine.New(quarantine.Options{
+		Host: d.settings.Host, Timers: d.timers, OnCrash: func() { d.fleet.AnnounceSuspects() },
+	})
 	local := d.localAddress()
 	d.fleet, err = fleet.New(fleet.Options{
 		Host:             d.settings.Host,
@@ -182,7 +184,8 @@
 	})
 	d.ingress, err = ingress.New(ingress.Options{
 		Host: d.settings.Host, Configuration: d.fleet.Configuration, Leaving: d.fleet.Leaving,
-		Suspect: d.view.Suspect, KeyOwner: idempotency.Owner, Quarantine: d.suspects, Client: d.client,
+		Suspect: d.view.Suspect, KeyOwner: idempotency.Owner, Quarantine: d.suspects,
+		Confine: quarantine.Confine, Client: d.client,
 		Balancer: balancers(cicadacross.BalancerOptions{
 			AvailabilityZone: d.settings.AvailabilityZone, Timers: d.timers,
 		}),
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	"cicadacross"
+	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 )
 
@@ -87,7 +88,7 @@
 		Self:     f.selfRecord(full),
 		Members:  f.sample(now, full, host),
 		Readers:  f.readerRecords(now, host),
-		Suspects: encodeSuspects(f.opts.Quarantine),
+		Suspects: peer.EncodeSuspects(f.opts.Quarantine),
 	}
 	request.SourceAgeMs = encodeOptionalAge(now, f.readers.sourceHeard)
 	f.begin(&exchangeTask{fleet: f, host: host, address: address, request: request, started: now})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,9 +67,12 @@
 	draining    bool
 	selfListed  time.Time // when a reader last saw this host among the leaving hosts; zero when never
 	leavingNews []string  // hosts that began to leave and are not announced yet
-	hostList    platform.HostList
-	exchangeAt  time.Time
-	budget      *sourceBudget
+	// suspectsWaiting means that suspects are to be announced, suspectsAt is when they last were.
+	suspectsWaiting bool
+	suspectsAt      time.Time
+	hostList        platform.HostList
+	exchangeAt      time.Time
+	budget          *sourceBudget
 }
 
 // message is the result of a network call or a question, handled by the run goroutine.
@@ -159,6 +162,7 @@
 	f.tickCold(now)
 	f.tickPause(now)
 	f.tickLeaving(now)
+	f.tickSuspects(now)
 	f.tickPartners(now)
 	f.tickReaders(now)
 	f.tickExchange(now)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	"cicadacross"
+	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 )
 
@@ -39,7 +40,7 @@
 		Self:     f.selfRecord(full),
 		Members:  f.sample(now, full, host),
 		Readers:  f.readerRecords(now, host),
-		Suspects: encodeSuspects(f.opts.Quarantine),
+		Suspects: peer.EncodeSuspects(f.opts.Quarantine),
 	}
 	reply.SourceAgeMs = encodeOptionalAge(now, f.readers.sourceHeard)
 	if known := f.members.get(host); known != nil && known.leaves(now) {
@@ -51,11 +52,12 @@
 
 // announceReceived is a peer's word of a version or of leaving hosts.
 type announceReceived struct {
-	version cicadacross.Version
-	host    string
-	peer    string
-	news    []*peerpb.Member
-	reply   chan *peerpb.AnnounceReply
+	version  cicadacross.Version
+	host     string
+	peer     string
+	news     []*peerpb.Member
+	suspects []cicadacross.Suspect
+	reply    chan *peerpb.AnnounceReply
 }
 
 // Announce takes a peer's word of a version. It is called by grpc.
@@ -67,12 +69,17 @@
 	if !validName(request.GetHost()) || len(request.GetNews()) > maxNews {
 		return nil, status.Error(codes.InvalidArgument, "the announcement has no host or too much news")
 	}
+	suspects, err := peer.DecodeSuspects(request.GetSuspects())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
 	m := announceReceived{
-		version: version,
-		host:    request.GetHost(),
-		peer:    validAddress(request.GetPeer()),
-		news:    request.GetNews(),
-		reply:   make(chan *peerpb.AnnounceReply, 1),
+		suspects: suspects,
+		version:  version,
+		host:     request.GetHost(),
+		peer:     validAddress(request.GetPeer()),
+		news:     request.GetNews(),
+		reply:    make(chan *peerpb.AnnounceReply, 1),
 	}
 	f.post(m)
 	return await(ctx, f, m.reply)
@@ -92,6 +99,9 @@
 	for _, p := range m.news {
 		f.mergeMember(now, p, cicadacross.Version{})
 	}
+	if f.opts.Quarantine != nil && len(m.suspects) > 0 {
+		f.opts.Quarantine.Merge(m.suspects)
+	}
 	m.reply <- &peerpb.AnnounceReply{Version: encodeVersion(f.version())}
 }
 
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadacross"
+	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 )
 
@@ -86,13 +87,44 @@
 }
 
 func (f *Fleet) announce(m *member, news []*peerpb.Member) {
-	f.meter.announces.Inc(1)
-	f.begin(&announceTask{
-		fleet:   f,
-		host:    m.host,
-		address: m.peer,
-		request: &peerpb.AnnounceRequest{
-			Version: encodeVersion(f.version()), Host: f.opts.Host, Peer: f.opts.Peer, News: news,
-		},
+	f.sendAnnounce(m, &peerpb.AnnounceRequest{
+		Version: encodeVersion(f.version()), Host: f.opts.Host, Peer: f.opts.Peer, News: news,
 	})
 }
+
+func (f *Fleet) sendAnnounce(m *member, request *peerpb.AnnounceRequest) {
+	f.meter.announces.Inc(1)
+	f.begin(&announceTask{fleet: f, host: m.host, address: m.peer, request: request})
+}
+
+// suspectSpacing is the shortest time between two announcements of suspects to all members. An upstream that crashes
+// again and again must not cost each daemon more than one small message in this time.
+const suspectSpacing = 500 * time.Millisecond
+
+// AnnounceSuspects tells all members of the quarantine's suspects, soon after a crash. The exchange would take several
+// rounds, in which the request could be sent to further upstreams.
+func (f *Fleet) AnnounceSuspects() { f.post(suspectNews{}) }
+
+type suspectNews struct{}
+
+func (suspectNews) handle(f *Fleet) {
+	f.suspectsWaiting = true
+	f.tickSuspects(f.timers.Now())
+}
+
+// tickSuspects sends what AnnounceSuspects asked for when the spacing allows it.
+func (f *Fleet) tickSuspects(now time.Time) {
+	if !f.suspectsWaiting || now.Sub(f.suspectsAt) < suspectSpacing {
+		return
+	}
+	f.suspectsWaiting, f.suspectsAt = false, now
+	suspects := peer.EncodeSuspects(f.opts.Quarantine)
+	for _, m := range f.members.all() {
+		if m.peer == "" {
+			continue
+		}
+		f.sendAnnounce(m, &peerpb.AnnounceRequest{
+			Version: encodeVersion(f.version()), Host: f.opts.Host, Peer: f.opts.Peer, Suspects: suspects,
+		})
+	}
+}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadacross"
+	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/register"
 )
@@ -15,7 +16,6 @@
 	maxName      = 253
 	maxSample    = 8
 	maxReaders   = 8
-	maxSuspects  = 64
 	maxNews      = 16
 	digestLength = 32
 	// maxDigests is the number of parts that one call may ask for.
@@ -125,36 +125,13 @@
 	if err != nil {
 		return word{}, err
 	}
-	if len(body.GetMembers()) > maxSample || len(body.GetReaders()) > maxReaders || len(body.GetSuspects()) > maxSuspects {
-		return word{}, newError(op, KindInvalid, "%d members, %d readers, %d suspects",
-			len(body.GetMembers()), len(body.GetReaders()), len(body.GetSuspects()))
+	if len(body.GetMembers()) > maxSample || len(body.GetReaders()) > maxReaders {
+		return word{}, newError(op, KindInvalid, "%d members, %d readers",
+			len(body.GetMembers()), len(body.GetReaders()))
 	}
 	w := word{self: self, version: version, sourceAge: sourceAge, members: body.GetMembers(), readers: body.GetReaders()}
-	for _, s := range body.GetSuspects() {
-		if s.GetCrashes() == 0 || len(s.GetHost()) > maxName {
-			return word{}, newError(op, KindInvalid, "suspect with %d crashes", s.GetCrashes())
-		}
-		age := time.Duration(min(s.GetAgeMs(), uint64(maxAge.Milliseconds()))) * time.Millisecond
-		w.suspects = append(w.suspects, cicadacross.Suspect{
-			Fingerprint: s.GetFingerprint(), Crashes: int(s.GetCrashes()), Age: age, Host: s.GetHost(),
-		})
+	if w.suspects, err = peer.DecodeSuspects(body.GetSuspects()); err != nil {
+		return word{}, wrapError(op, KindInvalid, err, "suspects")
 	}
 	return w, nil
 }
-
-func encodeSuspects(q cicadacross.Quarantine) []*peerpb.Suspect {
-	if q == nil {
-		return nil
-	}
-	suspects := q.Suspects()
-	list := make([]*peerpb.Suspect, 0, min(len(suspects), maxSuspects))
-	for _, s := range suspects[:min(len(suspects), maxSuspects)] {
-		list = append(list, &peerpb.Suspect{
-			Fingerprint: s.Fingerprint,
-			Crashes:     uint32(max(1, s.Crashes)),
-			AgeMs:       uint64(max(0, s.Age).Milliseconds()),
-			Host:        s.Host,
-		})
-	}
-	return list
-}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadacross"
+	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/relay"
 )
@@ -48,6 +49,7 @@
 			return fromRefusal(m.Refusal), nil
 		case *peerpb.ForwardReply_Failure:
 			a.observe(m.Failure.GetLoad())
+			a.learnSuspects(m.Failure.GetSuspects())
 			return fromFailure(m.Failure), nil
 		case *peerpb.ForwardReply_Head:
 			return a.answer(m.Head)
@@ -57,6 +59,16 @@
 	}
 }
 
+// learnSuspects takes the owner's suspects before the next attempt, which could crash another upstream.
+func (a *attempt) learnSuspects(list []*peerpb.Suspect) {
+	suspects, err := peer.DecodeSuspects(list)
+	if err != nil {
+		a.server.opts.Logger.Error(err, "suspects of the owner are not usable", "target", a.target.Name())
+		return
+	}
+	a.server.opts.Quarantine.Merge(suspects)
+}
+
 // startUpload begins to send the rest of the body. It waits for the start of the call, so that a refused request leaves
 // the body to the next attempt.
 func (a *attempt) startUpload() {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -78,26 +78,18 @@
 // the answer broke off.
 func (s *Server) forward(w http.ResponseWriter, q *request) (*refused, error) {
 	headers := relay.EncodeHeader(q.http.Header)
-	if s.opts.Quarantine.Blocked(relay.Fingerprint(s.head(q, cicadacross.Target{}, headers))) {
-		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
-	}
+	q.fingerprint = relay.Fingerprint(s.head(q, cicadacross.Target{}, headers))
 	var tried []string
 	var last *refused
 	for n := range maxAttempts {
-		target, ok := s.pick(q, tried)
-		switch {
-		case !ok && last == nil:
-			last = unavailable("no_target", "no target of the service takes work")
-			last.earlierUnknown = q.key != ""
-			return last, nil
-		case !ok:
-			return last, nil
-		case s.remaining(q) <= 0:
-			if last == nil {
-				last = unavailable(relay.RefusalDeadline, "no time is left")
-			}
+		target, obstacle := s.next(q, tried)
+		if obstacle != nil && last == nil {
+			return obstacle, nil
+		}
+		if obstacle != nil {
 			return last, nil
-		case n > 0 && !s.budget.retry():
+		}
+		if n > 0 && !s.budget.retry() {
 			s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
 			return last, nil
 		}
@@ -120,6 +112,23 @@
 	return last, nil
 }
 
+// next chooses the target of the next attempt. The refusal is not nil when no attempt can be made.
+func (s *Server) next(q *request, tried []string) (cicadacross.Target, *refused) {
+	if s.opts.Quarantine.Blocked(q.fingerprint) {
+		return cicadacross.Target{}, unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined")
+	}
+	target, ok := s.pick(q, tried)
+	if !ok {
+		fault := unavailable("no_target", "no target of the service takes work")
+		fault.earlierUnknown = q.key != ""
+		return target, fault
+	}
+	if s.remaining(q) <= 0 {
+		return target, unavailable(relay.RefusalDeadline, "no time is left")
+	}
+	return target, nil
+}
+
 // retryable reports whether another attempt may be made: the earlier one did not run, or the request may run twice and
 // its whole body is at hand.
 func (s *Server) retryable(q *request, last *refused) bool {
@@ -163,6 +172,9 @@
 		}
 		return owner, ok
 	}
+	if s.opts.Confine != nil && s.opts.Quarantine.Suspect(q.fingerprint) {
+		return s.confined(q, tried)
+	}
 	targets := q.service.Targets()
 	good := make([]cicadacross.Target, 0, len(targets))
 	var doubtful []cicadacross.Target
@@ -189,6 +201,17 @@
 	return target, ok
 }
 
+// confined chooses the target of a request that was in progress when an upstream crashed. There is only one, so that
+// the request can't take down the others.
+func (s *Server) confined(q *request, tried []string) (cicadacross.Target, bool) {
+	target, ok := s.opts.Confine(q.service, q.fingerprint)
+	if !ok || slices.Contains(tried, target.Host()) || s.leaving(q.configuration, target.Host()) {
+		return cicadacross.Target{}, false
+	}
+	s.opts.Decisions.Record(q.id, "pick", "side", "ingress", "target", target.Name(), "by", "suspect")
+	return target, true
+}
+
 func (s *Server) leaving(c *cicadacross.Configuration, host string) bool {
 	return c.Leaving(host) || (s.opts.Leaving != nil && s.opts.Leaving(host))
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -117,9 +117,11 @@
 }
 
 func (q *quarantine) Enter(context.Context, uint64) (func(), error) { return func() {}, nil }
-func (q *quarantine) Blocked(uint64) bool                           { return false }
-func (q *quarantine) Suspects() []cicadacross.Suspect               { return nil }
-func (q *quarantine) Merge([]cicadacross.Suspect)                   {}
+func (q *quarantine) Suspect(uint64) bool                           { return false }
+
+func (q *quarantine) Blocked(uint64) bool             { return false }
+func (q *quarantine) Suspects() []cicadacross.Suspect { return nil }
+func (q *quarantine) Merge([]cicadacross.Suspect)     {}
 func (q *quarantine) Crashed() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -35,6 +35,8 @@
 	depth         int
 	deadline      time.Time
 	body          *replayBody
+	// fingerprint identifies the request for the quarantine.
+	fingerprint uint64
 }
 
 // read checks the headers and fixes the route. The result is nil when the request is refused.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -47,9 +47,11 @@
 	KeyOwner   func(service *cicadacross.Service, key string) (cicadacross.Target, bool)
 	Balancer   cicadacross.Balancer
 	Quarantine cicadacross.Quarantine
-	Client     *relay.Client
-	Decisions  cicadacross.Decisions
-	Timers     cicadacross.Timers
+	// Confine returns the one target of the service that takes a suspect request; nil means that any target does.
+	Confine   func(service *cicadacross.Service, fingerprint uint64) (cicadacross.Target, bool)
+	Client    *relay.Client
+	Decisions cicadacross.Decisions
+	Timers    cicadacross.Timers
 	// Pause detects that the process was stopped; it may be nil.
 	Pause *relay.Pause
 	// Logger takes events of the server. The zero value discards them.
--- a/internal/peer/error.go
+++ b/internal/peer/error.go
@@ -9,6 +9,7 @@
 const (
 	KindClosed  Kind = "closed"
 	KindAddress Kind = "address"
+	KindInvalid Kind = "invalid"
 )
 
 // Error is the error type of this package.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -54,6 +54,8 @@
 	Limit int
 	// Expiry is the time after the last crash at which a fingerprint is forgotten; 0 means 10 min.
 	Expiry time.Duration
+	// OnCrash is called after each crash, without a lock, so that other daemons are told of the suspects; it may be nil.
+	OnCrash func()
 }
 
 // Keeper implements cicadacross.Quarantine for one upstream. It is safe for concurrent use.
@@ -243,6 +245,13 @@
 // Crashed implements cicadacross.Quarantine. When exactly one suspect was in progress, it is quarantined. All other
 // requests in progress become suspects, since the crash may have been the first of any of them.
 func (k *Keeper) Crashed() {
+	k.crashed()
+	if k.opts.OnCrash != nil {
+		k.opts.OnCrash()
+	}
+}
+
+func (k *Keeper) crashed() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.opts.Timers.Now()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cicadacross"
+	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/upstream"
 )
@@ -196,6 +197,9 @@
 func (r *run) fail(kind, reason string) error {
 	r.record("fail", "kind", kind, "reason", reason)
 	failed := &peerpb.ReplyFailure{Kind: kind, Reason: reason, Load: r.owner.load()}
+	if kind == FailureBroken {
+		failed.Suspects = peer.EncodeSuspects(r.owner.opts.Quarantine)
+	}
 	return r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Failure{Failure: failed}})
 }
 
--- a/quarantine.go
+++ b/quarantine.go
@@ -26,6 +26,8 @@
 	Crashed()
 	// Blocked reports whether the fingerprint is quarantined.
 	Blocked(fingerprint uint64) bool
+	// Suspect reports whether the fingerprint is a suspect or quarantined.
+	Suspect(fingerprint uint64) bool
 	// Suspects returns the suspects to tell other daemons, the latest first.
 	Suspects() []Suspect
 	// Merge takes the suspects of another daemon.
