ingress, relay: avoid targets that can't serve, and replace silent peer connections

A dead upstream refuses so fast that it looks like the least loaded one, so it is avoided for 2 s. A connection between daemons that holds requests and delivers nothing is probed after 0.5 s and replaced, since the grpc keepalive takes 13 s. Reconnects wait at most 2 s: grpc's default goes up to 2 min.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -45,6 +45,10 @@
 			a.startUpload()
 		case *peerpb.ForwardReply_Refusal:
 			a.observe(m.Refusal.GetLoad())
+			if m.Refusal.GetKind() == relay.RefusalUpstream {
+				// Without this, the fast refusals of a dead upstream make it look like the least loaded one.
+				a.server.evidence.observe(a.target.Host(), false)
+			}
 			return fromRefusal(m.Refusal), nil
 		case *peerpb.ForwardReply_Failure:
 			a.observe(m.Failure.GetLoad())
@@ -142,9 +146,7 @@
 
 func (a *attempt) writeHead(head *peerpb.ReplyHead) {
 	header := a.w.Header()
-	for _, h := range head.GetHeaders() {
-		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
-	}
+	relay.CopyHeader(header, head.GetHeaders())
 	// These are signals between daemons and upstreams, or would speak for this daemon.
 	delete(header, cicadacross.HeaderDraining)
 	delete(header, cicadacross.HeaderEarlier)
@@ -155,7 +157,8 @@
 		// A nil value keeps net/http from guessing a type that the upstream didn't give.
 		header["Content-Type"] = nil
 	}
-	if head.GetContentLength() >= 0 && head.GetStatus() != http.StatusNoContent {
+	noLength := head.GetStatus() == http.StatusNoContent || head.GetStatus() == http.StatusNotModified
+	if head.GetContentLength() >= 0 && !noLength {
 		header["Content-Length"] = []string{strconv.FormatInt(head.GetContentLength(), 10)}
 	}
 	if a.uploading() || a.server.draining.Load() {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"cicadacross"
@@ -78,7 +77,8 @@
 // the answer broke off.
 func (s *Server) forward(w http.ResponseWriter, q *request) (*refused, error) {
 	headers := relay.EncodeHeader(q.http.Header)
-	if s.opts.Quarantine.Blocked(relay.Fingerprint(s.head(q, cicadacross.Target{}, headers))) {
+	print := relay.Fingerprint(q.service.Name(), q.http.Method, q.path(), q.body.start)
+	if s.opts.Quarantine.Blocked(print) {
 		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
 	}
 	var tried []string
@@ -206,10 +206,6 @@
 // head builds the head of one attempt. Each attempt has its own, since an owner in this process may still read that of
 // an earlier one.
 func (s *Server) head(q *request, target cicadacross.Target, headers []*peerpb.Header) *peerpb.ForwardHead {
-	path := q.http.RequestURI
-	if !strings.HasPrefix(path, "/") {
-		path = q.http.URL.RequestURI()
-	}
 	remaining := s.remaining(q)
 	remaining -= min(answerMargin, remaining/10)
 	return &peerpb.ForwardHead{
@@ -228,7 +224,7 @@
 		IdempotencyKey: q.key,
 		Depth:          uint32(q.depth + 1), // #nosec G115
 		Method:         q.http.Method,
-		Path:           path,
+		Path:           q.path(),
 		Headers:        headers,
 		ContentLength:  q.body.length,
 		Body:           q.body.inline(),
@@ -241,11 +237,12 @@
 	w http.ResponseWriter, q *request, target cicadacross.Target, head *peerpb.ForwardHead,
 ) (*refused, error) {
 	ctx, cancel := context.WithTimeout(q.http.Context(), s.remaining(q))
-	defer cancel()
 	defer s.opts.Balancer.Begin(target.Host())()
-	stream, err := s.opts.Client.Open(ctx, target, head)
+	stream, err := s.opts.Client.Open(ctx, cancel, target, head)
 	if err != nil {
-		s.evidence.observe(target.Host(), false)
+		if ctx.Err() == nil {
+			s.evidence.observe(target.Host(), false)
+		}
 		fault := unavailable("unreachable", err.Error())
 		fault.earlierUnknown = q.key != ""
 		return fault, nil
@@ -266,6 +263,8 @@
 	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return unknown(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
 	}
-	a.server.evidence.observe(a.target.Host(), false)
+	if a.ctx.Err() == nil {
+		a.server.evidence.observe(a.target.Host(), false)
+	}
 	return unknown(http.StatusBadGateway, relay.FailureBroken, err.Error())
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
 	"cicadacross"
@@ -149,13 +150,16 @@
 	transport  *upstream.Upstream
 	owner      *relay.Owner
 	ingress    *ingress.Server
+	client     *relay.Client
+	grpcServer *grpc.Server
+	peers      *silenceable
 	quarantine *quarantine
 	caller     string
 }
 
 // fleet is two hosts of one service. Callers talk to the first; host-1 is reached through grpc and host-0 in process.
 type fleet struct {
-	t             *testing.T
+	t             testing.TB
 	nodes         []*node
 	configuration *cicadacross.Configuration
 }
@@ -167,7 +171,7 @@
 	keyOwner int // index of the host that owns all keys
 }
 
-func newFleet(t *testing.T, opts fleetOptions) *fleet {
+func newFleet(t testing.TB, opts fleetOptions) *fleet {
 	t.Helper()
 	if opts.hosts == 0 {
 		opts.hosts = 2
@@ -225,16 +229,17 @@
 		Keys: &keys{records: make(map[string]*keyRun)}, Quarantine: n.quarantine, Upstream: n.transport,
 		Timers: clock, Decisions: noDecisions{}, Classify: classify,
 	})
-	grpcServer := peer.NewServer(fleetKey)
-	peerpb.RegisterRelayServer(grpcServer, n.owner)
-	go func() { _ = grpcServer.Serve(peerListener) }()
-	f.t.Cleanup(grpcServer.Stop)
+	n.grpcServer = peer.NewServer(fleetKey)
+	peerpb.RegisterRelayServer(n.grpcServer, n.owner)
+	n.peers = &silenceable{Listener: peerListener}
+	go func() { _ = n.grpcServer.Serve(n.peers) }()
+	f.t.Cleanup(n.grpcServer.Stop)
 	pool := peer.NewPool(fleetKey)
 	f.t.Cleanup(pool.Close)
-	client := relay.NewClient(relay.ClientOptions{Pool: pool, Host: n.host, Local: n.owner, Timers: clock})
+	n.client = relay.NewClient(relay.ClientOptions{Pool: pool, Host: n.host, Local: n.owner, Timers: clock})
 	server, err := ingress.New(ingress.Options{
 		Host: n.host, Configuration: configuration, KeyOwner: keyOwner, Balancer: firstOf{}, Quarantine: n.quarantine,
-		Client: client, Decisions: noDecisions{}, Timers: clock,
+		Client: n.client, Decisions: noDecisions{}, Timers: clock,
 	})
 	assert.NilError(f.t, err)
 	n.ingress = server
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -63,6 +63,14 @@
 	return q, q.checkKey()
 }
 
+// path returns the path and query as the caller sent them.
+func (q *request) path() string {
+	if strings.HasPrefix(q.http.RequestURI, "/") {
+		return q.http.RequestURI
+	}
+	return q.http.URL.RequestURI()
+}
+
 func requestID(header http.Header) (string, *refused) {
 	values := header[cicadacross.HeaderRequestID]
 	if len(values) == 0 {
--- /dev/null
+++ b/internal/ingress/routing_test.go
@@ -0,0 +1,127 @@
+package ingress_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	standin "cicadacross/internal/standin/upstream"
+)
+
+// Guards against work for an upstream that said in an answer that it drains.
+func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	f.nodes[0].standin.SetBehavior(standin.Behavior{Draining: true, HealthLies: true})
+	for range 10 {
+		assert.Equal(t, f.call(1, "GET", "/pages/a", nil).outcome(), "done")
+	}
+	assert.Equal(t, f.nodes[0].standin.Executions().Started, 1)
+	assert.Equal(t, f.nodes[1].standin.Executions().Started, 9)
+}
+
+// Guards against calls down the chain that lose the depth, the time limit, the rank or the identity of the request.
+func TestChainedCallCarriesTheMeshHeaders(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	got := f.call(1, "GET", "/pages/first", nil, "X-Mesh-Request-Id: r1", "X-Mesh-Timeout: 3000",
+		standin.HeaderCall+": http://"+f.nodes[0].caller+"/pages/second", standin.HeaderService+": portal")
+	assert.Equal(t, got.outcome(), "done", got.body)
+	assert.Equal(t, got.header.Get("X-Seen-Depth"), "2")
+	assert.Equal(t, got.header.Get("X-Seen-Rank"), "reads")
+	assert.Equal(t, got.header.Get("X-Seen-Request-Id"), "r1")
+	assert.Assert(t, got.header.Get("X-Seen-Timeout") < "3000" && got.header.Get("X-Seen-Timeout") > "1000")
+	assert.Equal(t, f.nodes[0].standin.Executions().ByRequestID["r1"], 2)
+}
+
+// Guards against a request that runs at a daemon that can't be reached, or is lost when another could serve it.
+func TestUnreachableOwner(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	f.nodes[0].grpcServer.Stop()
+	got := f.call(1, "GET", "/pages/a", nil)
+	assert.Equal(t, got.outcome(), "done", got.body)
+	assert.Equal(t, f.nodes[1].standin.Executions().Started, 1)
+	got = f.call(1, "POST", "/publish/a", strings.NewReader("x"), "Idempotency-Key: k")
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.outcome(), "not-run")
+	assert.Equal(t, got.header.Get("X-Mesh-Earlier"), "unknown")
+}
+
+// Guards against answers without a body that get one, or a length that they don't have.
+func TestBodylessAnswers(t *testing.T) {
+	f := newFleet(t, fleetOptions{behavior: standin.Behavior{AnswerSize: 100 << 10}})
+	for host := range 2 {
+		got := f.call(host, http.MethodHead, "/pages/a", nil)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.outcome(), "done")
+		assert.Equal(t, got.header.Get("Content-Length"), "102400")
+		assert.Equal(t, got.body, "")
+	}
+	f.nodes[0].standin.SetBehavior(standin.Behavior{Chunked: true})
+	got := f.call(1, "POST", "/pages/a", strings.NewReader("abc"))
+	assert.Equal(t, got.trailer.Get("X-Seen-Length"), "3")
+}
+
+// Guards against a connection between daemons that stays in use after it went silent.
+func TestSilentPeerConnectionIsReplaced(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	f.nodes[1].client.Start()
+	defer f.nodes[1].client.Stop()
+	assert.Equal(t, f.call(1, "GET", "/pages/a", nil).outcome(), "done")
+	f.nodes[0].peers.silence()
+	got := f.call(1, "GET", "/pages/b", nil)
+	assert.Equal(t, got.outcome(), "done", "the retry: %s", got.body)
+	assert.Equal(t, f.call(1, "POST", "/publish/a", nil, "Idempotency-Key: k").outcome(), "done")
+	assert.Equal(t, f.nodes[0].standin.Executions().ByKey["k"], 1)
+}
+
+// silenceable is a listener whose connections can go silent: they accept bytes and deliver none.
+type silenceable struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*silenceableConn
+}
+
+type silenceableConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (l *silenceable) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &silenceableConn{Conn: conn}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+func (l *silenceable) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.silent.Store(true)
+	}
+}
+
+func (c *silenceableConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *silenceableConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -25,6 +26,13 @@
 	keepaliveTimeout = 3 * time.Second
 	keepaliveMinimum = 5 * time.Second
 
+	// A daemon that returns is used again within reconnectMaxDelay; the jitter spreads the reconnects of a fleet.
+	reconnectBaseDelay  = 100 * time.Millisecond
+	reconnectMaxDelay   = 2 * time.Second
+	reconnectMultiplier = 1.6
+	reconnectJitter     = 0.5
+	reconnectTimeout    = time.Second
+
 	// streamWindow bounds what one stream holds for a receiver that doesn't read; setting it also keeps grpc from raising
 	// the windows up to 16 MB by itself. It carries 85 MB/s at a round trip of 3 ms between availability zones.
 	streamWindow     = 256 << 10
@@ -77,10 +85,10 @@
 }
 
 // keyCredentials adds the fleet key to each call.
-type keyCredentials struct{ key string }
+type keyCredentials struct{ metadata map[string]string }
 
 func (k keyCredentials) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
-	return map[string]string{keyHeader: k.key}, nil
+	return k.metadata, nil
 }
 
 func (keyCredentials) RequireTransportSecurity() bool { return false }
@@ -99,11 +107,18 @@
 		conns: make(map[string]*grpc.ClientConn),
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithPerRPCCredentials(keyCredentials{key: fleetKey}),
+			grpc.WithPerRPCCredentials(keyCredentials{metadata: map[string]string{keyHeader: fleetKey}}),
 			grpc.WithDisableRetry(),
 			grpc.WithDisableServiceConfig(),
 			grpc.WithInitialWindowSize(streamWindow),
 			grpc.WithInitialConnWindowSize(connectionWindow),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff: backoff.Config{
+					BaseDelay: reconnectBaseDelay, MaxDelay: reconnectMaxDelay,
+					Multiplier: reconnectMultiplier, Jitter: reconnectJitter,
+				},
+				MinConnectTimeout: reconnectTimeout,
+			}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		},
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -62,9 +62,11 @@
 	once   sync.Once
 }
 
-// Open sends the head to the daemon that owns the target. After an error the request did not run.
-func (c *Client) Open(ctx context.Context, target cicadacross.Target, head *peerpb.ForwardHead) (*Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
+// Open sends the head to the daemon that owns the target. After an error the request did not run. The stream calls
+// cancel, which must end ctx, when it is closed; this happens before the return of an error.
+func (c *Client) Open(
+	ctx context.Context, cancel context.CancelFunc, target cicadacross.Target, head *peerpb.ForwardHead,
+) (*Stream, error) {
 	s := &Stream{cancel: cancel}
 	err := c.attach(ctx, s, target)
 	if err == nil {
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -63,11 +63,23 @@
 // DecodeHeader returns the headers of a message between daemons.
 func DecodeHeader(list []*peerpb.Header) http.Header {
 	header := make(http.Header, len(list)+headerSpare)
-	for _, h := range list {
-		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
-	}
+	CopyHeader(header, list)
 	return header
 }
 
+// CopyHeader adds the headers of a message between daemons. Names with one value share one slice, which saves an
+// allocation for each.
+func CopyHeader(header http.Header, list []*peerpb.Header) {
+	values := make([]string, len(list))
+	for i, h := range list {
+		if earlier, ok := header[h.GetName()]; ok {
+			header[h.GetName()] = append(earlier, h.GetValue())
+			continue
+		}
+		values[i] = h.GetValue()
+		header[h.GetName()] = values[i : i+1 : i+1]
+	}
+}
+
 // headerSpare is room for the headers that a daemon adds.
 const headerSpare = 6
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -75,6 +75,12 @@
 		return status.Error(codes.InvalidArgument, "the first message is not a head")
 	}
 	r := newRun(o, s, head)
+	if head.GetHost() == "" {
+		// This is a probe of the connection.
+		return r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Refusal{
+			Refusal: refusal(RefusalBadHead, "no host"),
+		}})
+	}
 	if !o.enter() {
 		return r.refuse(refusal(RefusalDraining, "the daemon is stopping"))
 	}
@@ -144,6 +150,10 @@
 // load returns the load of the target for the final message of a request.
 func (o *Owner) load() *peerpb.Load {
 	l := o.opts.Admission.Load()
+	if o.opts.Upstream.State().Unhealthy {
+		// An unhealthy upstream is chosen less often and never excluded: health endpoints lag and mislead.
+		l.Queued += l.Slots
+	}
 	return &peerpb.Load{
 		InProgress: uint32(l.InProgress), // #nosec G115 -- counts are small
 		Queued:     uint32(l.Queued),     // #nosec G115
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -132,7 +132,8 @@
 // admit takes the place in progress and the slot. It reports false when the request is answered by a refusal.
 func (r *run) admit(ctx context.Context, cancel context.CancelFunc) (bool, error) {
 	o := r.owner
-	leave, err := o.opts.Quarantine.Enter(ctx, Fingerprint(r.head))
+	print := Fingerprint(r.head.GetService(), r.head.GetMethod(), r.head.GetPath(), r.head.GetBody())
+	leave, err := o.opts.Quarantine.Enter(ctx, print)
 	if err != nil {
 		return false, r.deny(StageQuarantine, err)
 	}
@@ -282,10 +283,8 @@
 }
 
 // Fingerprint identifies a request for the quarantine: service, method, path and the first 4 KB of the body.
-func Fingerprint(head *peerpb.ForwardHead) uint64 {
-	body := head.GetBody()
-	body = body[:min(len(body), fingerprintBody)]
-	return digest(head.GetService(), head.GetMethod(), head.GetPath(), body)
+func Fingerprint(service, method, path string, body []byte) uint64 {
+	return digest(service, method, path, body[:min(len(body), fingerprintBody)])
 }
 
 // contentFingerprint identifies the content that belongs to a key.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -47,8 +47,7 @@
 	if x.ended {
 		return nil
 	}
-	// An answer without a body is at its end already.
-	if n, err := x.source.Read(make([]byte, 0)); n == 0 && errors.Is(err, io.EOF) {
+	if x.source == http.NoBody {
 		x.ended, x.err = true, io.EOF
 		x.keep()
 		return nil
