--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"cicadacross"
@@ -78,7 +77,7 @@
 // the answer broke off.
 func (s *Server) forward(w http.ResponseWriter, q *request) (*refused, error) {
 	headers := relay.EncodeHeader(q.http.Header)
-	q.fingerprint = relay.Fingerprint(s.head(q, cicadacross.Target{}, headers))
+	q.fingerprint = relay.Fingerprint(q.service.Name(), q.http.Method, q.path(), q.body.start)
 	var tried []string
 	var last *refused
 	for n := range maxAttempts {
@@ -229,10 +228,6 @@
 // head builds the head of one attempt. Each attempt has its own, since an owner in this process may still read that of
 // an earlier one.
 func (s *Server) head(q *request, target cicadacross.Target, headers []*peerpb.Header) *peerpb.ForwardHead {
-	path := q.http.RequestURI
-	if !strings.HasPrefix(path, "/") {
-		path = q.http.URL.RequestURI()
-	}
 	remaining := s.remaining(q)
 	remaining -= min(answerMargin, remaining/10)
 	return &peerpb.ForwardHead{
@@ -251,7 +246,7 @@
 		IdempotencyKey: q.key,
 		Depth:          uint32(q.depth + 1), // #nosec G115
 		Method:         q.http.Method,
-		Path:           path,
+		Path:           q.path(),
 		Headers:        headers,
 		ContentLength:  q.body.length,
 		Body:           q.body.inline(),
@@ -264,11 +259,12 @@
 	w http.ResponseWriter, q *request, target cicadacross.Target, head *peerpb.ForwardHead,
 ) (*refused, error) {
 	ctx, cancel := context.WithTimeout(q.http.Context(), s.remaining(q))
-	defer cancel()
 	defer s.opts.Balancer.Begin(target.Host())()
-	stream, err := s.opts.Client.Open(ctx, target, head)
+	stream, err := s.opts.Client.Open(ctx, cancel, target, head)
 	if err != nil {
-		s.evidence.observe(target.Host(), false)
+		if ctx.Err() == nil {
+			s.evidence.observe(target.Host(), false)
+		}
 		fault := unavailable("unreachable", err.Error())
 		fault.earlierUnknown = q.key != ""
 		return fault, nil
@@ -289,6 +285,8 @@
 	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return unknown(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
 	}
-	a.server.evidence.observe(a.target.Host(), false)
+	if a.ctx.Err() == nil {
+		a.server.evidence.observe(a.target.Host(), false)
+	}
 	return unknown(http.StatusBadGateway, relay.FailureBroken, err.Error())
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,10 +29,11 @@
 	keepaliveMinimum = 5 * time.Second
 
 	// A peer that returns is reached again within reconnectMax. The default of the library is 2 minutes, which would keep
-	// the sides of a partition apart long after it has healed.
+	// the sides of a partition apart long after it has healed; the jitter
+	// spreads the reconnects of a fleet.
 	reconnectBase   = 50 * time.Millisecond
 	reconnectFactor = 1.6
-	reconnectJitter = 0.2
+	reconnectJitter = 0.5
 	reconnectMax    = time.Second
 	connectTimeout  = time.Second
 
@@ -88,10 +89,10 @@
 }
 
 // keyCredentials adds the fleet key to each call.
-type keyCredentials struct{ key string }
+type keyCredentials struct{ metadata map[string]string }
 
 func (k keyCredentials) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
-	return map[string]string{keyHeader: k.key}, nil
+	return k.metadata, nil
 }
 
 func (keyCredentials) RequireTransportSecurity() bool { return false }
@@ -110,7 +111,7 @@
 		conns: make(map[string]*grpc.ClientConn),
 		options: append([]grpc.DialOption{
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithPerRPCCredentials(keyCredentials{key: fleetKey}),
+			grpc.WithPerRPCCredentials(keyCredentials{metadata: map[string]string{keyHeader: fleetKey}}),
 			grpc.WithDisableRetry(),
 			grpc.WithDisableServiceConfig(),
 			grpc.WithInitialWindowSize(streamWindow),
