--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -204,6 +204,10 @@
 			return wrapError("answer", KindAnswer, err, "the caller takes no more")
 		}
 	}
+	if len(end.GetTrailers()) > 0 {
+		// Without a flush net/http gives a short answer a length, which leaves no place for trailers.
+		_ = http.NewResponseController(a.w).Flush()
+	}
 	for _, h := range end.GetTrailers() {
 		a.w.Header().Add(http.TrailerPrefix+h.GetName(), h.GetValue())
 	}
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,6 +163,7 @@
 	t             testing.TB
 	nodes         []*node
 	configuration *cicadacross.Configuration
+	disagreements atomic.Int32
 }
 
 type fleetOptions struct {
@@ -169,6 +171,10 @@
 	hosts    int
 	slots    int
 	keyOwner int // index of the host that owns all keys
+	// agreed makes the owners of the targets deny that they own a key while it is false; nil means they agree.
+	agreed *atomic.Bool
+	// admission replaces the admission policy of the first host.
+	admission cicadacross.Admission
 }
 
 func newFleet(t testing.TB, opts fleetOptions) *fleet {
@@ -220,12 +226,23 @@
 	clock := timer.System{}
 	configuration := func() *cicadacross.Configuration { return f.configuration }
 	keyOwner := func(*cicadacross.Service, string) (cicadacross.Target, bool) { return targets[opts.keyOwner], true }
+	ownerOf := func(s *cicadacross.Service, key string) (cicadacross.Target, bool) {
+		if opts.agreed != nil && !opts.agreed.Load() {
+			f.disagreements.Add(1)
+			return cicadacross.Target{}, false
+		}
+		return keyOwner(s, key)
+	}
+	admission := cicadacross.Admission(newSlots(opts.slots))
+	if opts.admission != nil && n == f.nodes[0] {
+		admission = opts.admission
+	}
 	n.transport = upstream.New(upstream.Options{
 		Address: n.standin.Address(), Connections: 16, Timers: clock, Quarantine: n.quarantine,
 	})
 	f.t.Cleanup(n.transport.Close)
 	n.owner = relay.NewOwner(relay.OwnerOptions{
-		Host: n.host, Configuration: configuration, KeyOwner: keyOwner, Admission: newSlots(opts.slots),
+		Host: n.host, Configuration: configuration, KeyOwner: ownerOf, Admission: admission,
 		Keys: &keys{records: make(map[string]*keyRun)}, Quarantine: n.quarantine, Upstream: n.transport,
 		Timers: clock, Decisions: noDecisions{}, Classify: classify,
 	})
--- /dev/null
+++ b/internal/ingress/owner_test.go
@@ -0,0 +1,68 @@
+package ingress_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cicadacross"
+	"cicadacross/internal/relay"
+	standin "cicadacross/internal/standin/upstream"
+)
+
+// preempting is an admission policy that ends the work in progress on demand.
+type preempting struct {
+	*slots
+	cancel atomic.Pointer[func()]
+}
+
+func (p *preempting) Acquire(ctx context.Context, w cicadacross.Work) (cicadacross.Slot, error) {
+	if cancel := w.Cancel(); cancel != nil {
+		p.cancel.Store(&cancel)
+	}
+	return p.slots.Acquire(ctx, w)
+}
+
+// Guards against work that goes on, or keeps its slot, after admission ended it for more urgent work, and against a
+// retry that brings it back at once.
+func TestPreemptedRequest(t *testing.T) {
+	policy := &preempting{slots: newSlots(1)}
+	f := newFleet(t, fleetOptions{admission: policy, behavior: standin.Behavior{
+		ServiceTimes: map[string]time.Duration{"/pages/slow": time.Minute, "/publish/slow": 100 * time.Millisecond},
+	}})
+	got := make(chan answer)
+	go func() { got <- f.call(1, "GET", "/pages/slow", nil) }()
+	waitFor(t, "the request", func() bool { return f.nodes[0].standin.InProgress() == 1 })
+	(*policy.cancel.Load())()
+	a := <-got
+	assert.Equal(t, a.status, 503)
+	assert.Equal(t, a.outcome(), "unknown")
+	assert.Equal(t, a.header.Get("X-Mesh-Reason"), relay.FailurePreempted)
+	assert.Equal(t, f.nodes[1].standin.Executions().Started, 0)
+	policy.cancel.Store(nil)
+	a = f.call(1, "POST", "/publish/slow", nil, "Idempotency-Key: k")
+	assert.Equal(t, a.outcome(), "done")
+	assert.Assert(t, policy.cancel.Load() == nil, "a request that must not repeat can't be ended")
+}
+
+// Guards against a keyed request that runs at a target that doesn't own the key, and against one that is refused though
+// its daemons agree a moment later.
+func TestOwnersMustAgree(t *testing.T) {
+	var agreed atomic.Bool
+	f := newFleet(t, fleetOptions{agreed: &agreed})
+	a := f.call(1, "POST", "/publish/a", strings.NewReader("x"), "Idempotency-Key: k")
+	assert.Equal(t, a.status, 503, a.body)
+	assert.Equal(t, a.outcome(), "not-run")
+	assert.Equal(t, a.header.Get("X-Mesh-Reason"), relay.RefusalDisagree)
+	assert.Equal(t, f.nodes[0].standin.Executions().Started+f.nodes[1].standin.Executions().Started, 0)
+
+	got := make(chan answer)
+	go func() { got <- f.call(1, "POST", "/publish/a", strings.NewReader("x"), "Idempotency-Key: k") }()
+	waitFor(t, "the first refusal", func() bool { return f.disagreements.Load() > 3 })
+	agreed.Store(true)
+	assert.Equal(t, (<-got).outcome(), "done")
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -89,7 +89,9 @@
 	if r.head.GetIdempotencyKey() == "" {
 		return refusal(RefusalBadHead, "a request that must not repeat has no key")
 	}
-	if o.opts.Settled != nil && !o.opts.Settled() {
+	// The control loop may not have noticed yet that the process was stopped.
+	paused := o.opts.Pause != nil && o.opts.Pause.Lost() > 0
+	if paused || (o.opts.Settled != nil && !o.opts.Settled()) {
 		r := refusal(RefusalUnsettled, "the owner's evidence is outdated")
 		r.EarlierUnknown = true
 		return r
