daemon: serve the operators' endpoint, keep one decision log

The provisional endpoint is replaced by internal/operator on go-zero's rest, with the state of the control part, the members, metrics and decisions. Of the two decision logs the ring of decisions stays: it has one bound whatever the number of decisions of a request, and it now reuses its places, so that a decision allocates nothing.

The logs of go-zero and grpc are captured once in the daemon's command. Capture sets go-zero's log up first, since the first rest server would otherwise replace the writer.

status names manifests that can't be read, versions that can't be fetched yet, and stopped hosts that the register no longer has.

--- a/cmd/cicadacrossd/main.go
+++ b/cmd/cicadacrossd/main.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"cicadacross/internal/daemon"
+	"cicadacross/internal/journal"
 )
 
 func main() {
@@ -33,7 +34,9 @@
 
 // run serves until ctx ends and then shuts the daemon down gracefully.
 func run(ctx context.Context, settings daemon.Settings) error {
-	d, err := daemon.New(settings, daemon.Options{Log: os.Stderr})
+	log := settings.NewLog(os.Stderr)
+	journal.Capture(log)
+	d, err := daemon.New(settings, daemon.Options{Log: log})
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,13 +16,13 @@
 	"cicadacross"
 	"cicadacross/internal/admission"
 	_ "cicadacross/internal/balance" // registers the balancers
-	"cicadacross/internal/decision"
 	"cicadacross/internal/failure"
 	"cicadacross/internal/fleet"
 	"cicadacross/internal/idempotency"
 	"cicadacross/internal/ingress"
 	"cicadacross/internal/journal"
 	"cicadacross/internal/kernel"
+	"cicadacross/internal/operator"
 	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/quarantine"
@@ -41,8 +41,8 @@
 
 // Options configures what isn't a setting of the operator.
 type Options struct {
-	// Log receives the log lines; nil discards them.
-	Log io.Writer
+	// Log receives the log lines; the zero Logger discards them.
+	Log logr.Logger
 	// Timers is the timer service; nil means the clock of the machine.
 	Timers cicadacross.Timers
 }
@@ -59,7 +59,7 @@
 	view      *memberView
 	keys      *idempotency.Store
 	suspects  *quarantine.Keeper
-	decisions *decision.Book
+	decisions *operator.DecisionLog
 	upstream  *upstream.Upstream
 	admission cicadacross.Admission
 	owner     *relay.Owner
@@ -79,22 +79,24 @@
 	if d.timers == nil {
 		d.timers = timer.System{}
 	}
-	writer := opts.Log
-	if writer == nil {
-		writer = io.Discard
-	}
-	log := journal.New(journal.Options{Writer: writer, Level: logLevels[settings.LogLevel]})
-	d.log = log.WithValues("host", settings.Host)
+	d.log = opts.Log.WithValues("host", settings.Host)
 	if err := d.buildControl(); err != nil {
 		return nil, err
 	}
 	if err := d.buildTraffic(); err != nil {
 		return nil, err
 	}
-	d.operators = newOperatorServer(d)
+	if err := d.buildOperators(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
+// NewLog returns the log of key=value lines at the level of the settings.
+func (s *Settings) NewLog(w io.Writer) logr.Logger {
+	return journal.New(journal.Options{Writer: w, Level: logLevels[s.LogLevel]})
+}
+
 // buildControl builds the parts that distribute configurations.
 func (d *Daemon) buildControl() error {
 	sources, err := kernel.Sources.Lookup("http")
@@ -160,9 +162,10 @@
 	if err != nil {
 		return err
 	}
-	d.decisions = decision.New(decision.Options{
-		Timers: d.timers, Logger: d.log.WithName("decision"), LinesPerSecond: d.settings.DecisionLines,
+	d.decisions = operator.NewDecisionLog(operator.DecisionLogOptions{
+		Timers: d.timers, Log: d.log.WithName("decision"), LinesPerSecond: decisionLines(d.settings.DecisionLines),
 	})
+	decisions := newTally(d.decisions, d.metrics)
 	d.upstream = upstream.New(upstream.Options{
 		Address: d.settings.Upstream, Timers: d.timers, Quarantine: d.suspects,
 		HealthPath: d.settings.HealthPath, Logger: d.log.WithName("upstream"),
@@ -174,7 +177,7 @@
 	d.owner = relay.NewOwner(relay.OwnerOptions{
 		Host: d.settings.Host, Configuration: d.fleet.Configuration, Leaving: d.fleet.Leaving,
 		Settled: d.fleet.Settled, KeyOwner: idempotency.Owner, Admission: d.admission, Keys: d.keys,
-		Quarantine: d.suspects, Upstream: d.upstream, Timers: d.timers, Decisions: d.decisions, Pause: d.pause,
+		Quarantine: d.suspects, Upstream: d.upstream, Timers: d.timers, Decisions: decisions, Pause: d.pause,
 		Classify: classify,
 	})
 	d.client = relay.NewClient(relay.ClientOptions{
@@ -186,7 +189,7 @@
 		Balancer: balancers(cicadacross.BalancerOptions{
 			AvailabilityZone: d.settings.AvailabilityZone, Timers: d.timers,
 		}),
-		Decisions: d.decisions, Timers: d.timers, Pause: d.pause, Logger: d.log.WithName("ingress"),
+		Decisions: decisions, Timers: d.timers, Pause: d.pause, Logger: d.log.WithName("ingress"),
 	})
 	if err != nil {
 		return wrapError("build", KindPlugin, err, "ingress")
@@ -198,6 +201,27 @@
 	return nil
 }
 
+// decisionLines turns the setting, in which 0 means none, into the option, in which 0 means the default.
+func decisionLines(setting int) int {
+	if setting == 0 {
+		return -1
+	}
+	return setting
+}
+
+// buildOperators builds the endpoint for operators.
+func (d *Daemon) buildOperators() error {
+	d.registerGauges()
+	handler := operator.NewHandler(operator.HandlerOptions{
+		Fleet:     operatorView{fleet: d.fleet, timers: d.timers},
+		Decisions: d.decisions,
+		Metrics:   d.metrics,
+	})
+	var err error
+	d.operators, err = newOperatorServer(handler)
+	return err
+}
+
 // applied is called by the control goroutine before a configuration comes into force.
 func (d *Daemon) applied(previous, next *cicadacross.Configuration) {
 	// A version in between may have been in force elsewhere, with owners of keys that this daemon never learned of.
@@ -282,30 +306,30 @@
 	d.keys.Start()
 	d.fleet.Start()
 	d.view.Start()
-	for _, s := range []service{
+	for _, e := range []endpoint{
 		{name: "peers", serve: d.server.Serve, listener: listeners[0]},
 		{name: "callers", serve: d.ingress.Serve, listener: listeners[1]},
 		{name: "operators", serve: d.operators.Serve, listener: listeners[2]},
 	} {
 		d.serving.Add(1)
-		go s.run(d)
+		go e.run(d)
 	}
 	d.log.Info("daemon started", "availability_zone", d.settings.AvailabilityZone,
 		"callers", d.settings.ListenCaller, "peers", d.settings.ListenPeer, "operators", d.settings.ListenOperator)
 	return nil
 }
 
-// service is one listening server.
-type service struct {
+// endpoint is one listening server.
+type endpoint struct {
 	name     string
 	serve    func(net.Listener) error
 	listener net.Listener
 }
 
-func (s service) run(d *Daemon) {
+func (e endpoint) run(d *Daemon) {
 	defer d.serving.Done()
-	if err := s.serve(s.listener); err != nil {
-		d.log.Error(err, "server ended", "serves", s.name)
+	if err := e.serve(e.listener); err != nil {
+		d.log.Error(err, "server ended", "serves", e.name)
 	}
 }
 
@@ -328,6 +352,7 @@
 		err = ingressErr
 	}
 	d.Close()
+	d.decisions.Flush()
 	d.log.Info("daemon stopped", "drained", err == nil)
 	return err
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -5,24 +5,57 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+
+	"cicadacross/internal/operator"
 )
 
-// operatorHeaderLimit bounds the time in which an operator sends the head of a request.
-const operatorHeaderLimit = 5 * time.Second
+const (
+	// operatorHeaderLimit bounds the time in which an operator sends the head of a request.
+	operatorHeaderLimit = 5 * time.Second
+	// operatorIdleLimit bounds the memory that connections of operators hold after their use.
+	operatorIdleLimit = time.Minute
+	// neverForceQuit replaces the 5.5 s after which go-zero would end a process that is still draining.
+	neverForceQuit = 365 * 24 * time.Hour
+)
 
 // operatorServer serves operators.
 type operatorServer struct {
 	http *http.Server
 }
 
-func newOperatorServer(d *Daemon) *operatorServer {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		if !d.fleet.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return &operatorServer{http: &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderLimit}}
+// newOperatorServer mounts the operators' routes on go-zero's rest. The listening server around them is our own, for
+// the reason given at the server for callers.
+func newOperatorServer(handler *operator.Handler) (*operatorServer, error) {
+	conf := rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:     "operator",
+			Mode:     service.TestMode, // no load shedding and no periodic reports
+			Log:      logx.LogConf{Mode: "console", Level: "info"},
+			Shutdown: proc.ShutdownConf{WaitTime: neverForceQuit},
+		},
+		// The zero value switches all middlewares off: an operator must get an answer under load.
+		Middlewares: rest.MiddlewaresConf{},
+	}
+	server, err := rest.NewServer(conf)
+	if err != nil {
+		return nil, wrapError("build", KindPlugin, err, "operator server")
+	}
+	server.AddRoutes(handler.Routes())
+	serverless, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, wrapError("build", KindPlugin, err, "operator routes")
+	}
+	return &operatorServer{http: &http.Server{
+		Handler:           http.HandlerFunc(serverless.Serve),
+		ReadHeaderTimeout: operatorHeaderLimit,
+		IdleTimeout:       operatorIdleLimit,
+	}}, nil
 }
 
 // Serve answers operators until Close; it then returns nil.
@@ -36,3 +69,15 @@
 
 // Close ends all connections.
 func (s *operatorServer) Close() { _ = s.http.Close() }
+
+// registerGauges adds the figures that are read when an operator asks. The counters of the fleet are in the registry
+// already.
+func (d *Daemon) registerGauges() {
+	gauge := func(name string, value func() int) {
+		metrics.NewRegisteredFunctionalGauge(name, d.metrics, func() int64 { return int64(value()) })
+	}
+	gauge("admission.in_progress", func() int { return d.admission.Load().InProgress })
+	gauge("admission.queued", func() int { return d.admission.Load().Queued })
+	gauge("admission.slots", func() int { return d.admission.Load().Slots })
+	gauge("requests.in_progress", d.owner.InProgress)
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -31,6 +31,8 @@
 // Capture sends what go-zero and grpc log to the logger. It must be called before any other use of these libraries,
 // and once in a process, since their logs are global.
 func Capture(logger logr.Logger) {
+	// The first rest server of a process sets go-zero's log up and would replace the writer; only the first setup counts.
+	_ = logx.SetUp(logx.LogConf{Mode: "console", Level: "debug"})
 	logx.DisableStat()
 	logx.SetWriter(NewZeroWriter(logger.WithName("go-zero")))
 	grpclog.SetLoggerV2(NewGRPCLogger(logger.WithName("grpc")))
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -16,6 +16,8 @@
 func TestCaptureSendsLibraryOutputToTheLog(t *testing.T) {
 	var out bytes.Buffer
 	journal.Capture(journal.New(journal.Options{Writer: &out}))
+	// A rest server does this when it is built.
+	assert.NilError(t, logx.SetUp(logx.LogConf{Mode: "console", Level: "severe"}))
 	logx.Infow("served", logx.Field("status", 200))
 	grpclog.Warningln("connection lost")
 	grpclog.Infoln("picked a transport")
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -159,11 +159,11 @@
 			s.hosts[m.Host] = &observation{member: m}
 			continue
 		}
-		leaving := known.member.Leaving || m.Leaving
+		leaving, registered := known.member.Leaving || m.Leaving, known.member.Registered || m.Registered
 		if m.Incarnation > known.member.Incarnation || m.heardLater(known.member) {
 			known.member = m
 		}
-		known.member.Leaving = leaving
+		known.member.Leaving, known.member.Registered = leaving, registered
 	}
 }
 
--- a/internal/operator/decisions.go
+++ b/internal/operator/decisions.go
@@ -14,7 +14,7 @@
 
 const (
 	// defaultDecisions is the number of decisions that are kept.
-	defaultDecisions = 16_384
+	defaultDecisions = 32_768
 	// defaultLines is the number of log lines a second.
 	defaultLines = 100
 	// The bounds of one decision, in bytes of text, bound the memory of the whole log whatever callers send.
@@ -37,18 +37,22 @@
 	Value string `json:"value"`
 }
 
-// DecisionLogOptions configures a decision log.
+// DecisionLogOptions configures a decision log. Timers is required.
 type DecisionLogOptions struct {
 	Timers cicadacross.Timers
-	// Capacity is the number of decisions that are kept; 0 means 16,384.
+	// Capacity is the number of decisions that are kept; 0 means 32,768.
 	Capacity int
 	// Log receives a line for each decision; the zero Logger drops it.
 	Log logr.Logger
-	// LinesPerSecond bounds the lines to the log; 0 means 100. The next line says how many were left out.
+	// LinesPerSecond bounds the lines to the log; 0 means 100, below 0 means none. The next line says how many were
+	// left out.
 	LinesPerSecond int
 }
 
 // DecisionLog keeps the latest decisions in memory and writes them to the log. It is safe for concurrent use.
+//
+// The decisions form one ring rather than one record for each request: a chain of calls shares a request ID, so that a
+// bound for each request would lose the later calls of the chain.
 type DecisionLog struct {
 	timers cicadacross.Timers
 	log    logr.Logger
@@ -57,14 +61,16 @@
 	mu      sync.Mutex
 	entries []decisionEntry
 	next    int
-	omitted int
+	leftOut int
 }
 
+// decisionEntry is one place in the ring. The slice is used again by the next decision in the place, so that Record
+// allocates nothing once the ring is full.
 type decisionEntry struct {
 	requestID string
 	decision  string
-	reasons   []Reason
 	at        time.Time
+	pairs     []any
 }
 
 var _ cicadacross.Decisions = (*DecisionLog)(nil)
@@ -74,61 +80,85 @@
 	if opts.Capacity <= 0 {
 		opts.Capacity = defaultDecisions
 	}
-	if opts.LinesPerSecond <= 0 {
+	if opts.LinesPerSecond == 0 {
 		opts.LinesPerSecond = defaultLines
 	}
+	lines := max(opts.LinesPerSecond, 0)
 	return &DecisionLog{
 		timers:  opts.Timers,
 		log:     opts.Log,
-		lines:   rate.NewLimiter(rate.Limit(opts.LinesPerSecond), opts.LinesPerSecond),
+		lines:   rate.NewLimiter(rate.Limit(lines), lines),
 		entries: make([]decisionEntry, 0, opts.Capacity),
 	}
 }
 
-// Record implements cicadacross.Decisions. Values are turned into text at once, since they may change later.
+// Record implements cicadacross.Decisions. Texts are cut to the bounds of one decision. Values other than texts,
+// booleans and numbers are turned into text at once, since they may change later.
 func (l *DecisionLog) Record(requestID, decision string, keysAndValues ...any) {
-	requestID = cut(requestID, maxRequestID)
-	entry := decisionEntry{requestID: requestID, decision: decision, at: l.timers.Now()}
-	left := maxText
-	for i := 0; i < len(keysAndValues) && len(entry.reasons) < maxReasons && left > 0; i += 2 {
-		reason := Reason{Key: cut(fmt.Sprint(keysAndValues[i]), left)}
-		left -= len(reason.Key)
-		if i+1 < len(keysAndValues) {
-			reason.Value = cut(fmt.Sprint(keysAndValues[i+1]), max(left, 0))
-			left -= len(reason.Value)
-		}
-		entry.reasons = append(entry.reasons, reason)
+	if line := l.record(cut(requestID, maxRequestID), decision, keysAndValues); line != nil {
+		l.log.Info("decision", line...)
 	}
-	omitted, write := l.keep(entry)
-	if !write {
-		return
+}
+
+// record keeps the decision and returns its log line, or nil when it is left out.
+func (l *DecisionLog) record(requestID, decision string, keysAndValues []any) []any {
+	now := l.timers.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.place()
+	e.requestID, e.decision, e.at = requestID, decision, now
+	e.keep(keysAndValues)
+	if !l.lines.AllowN(now, 1) {
+		l.leftOut++
+		return nil
 	}
-	line := []any{"request", requestID}
-	for _, r := range entry.reasons {
-		line = append(line, r.Key, r.Value)
+	line := append([]any{"request", requestID, "decision", decision}, e.pairs...)
+	if l.leftOut > 0 {
+		line = append(line, "left_out", l.leftOut)
+		l.leftOut = 0
 	}
-	if omitted > 0 {
-		line = append(line, "omitted", omitted)
+	return line
+}
+
+// place returns the place of the next decision. The lock is held.
+func (l *DecisionLog) place() *decisionEntry {
+	if n := len(l.entries); n < cap(l.entries) {
+		l.entries = l.entries[:n+1]
+		return &l.entries[n]
 	}
-	l.log.Info(decision, line...)
+	e := &l.entries[l.next]
+	l.next = (l.next + 1) % len(l.entries)
+	return e
 }
 
-// keep stores the entry and reports whether it gets a log line, with the number of entries that got none before it.
-func (l *DecisionLog) keep(entry decisionEntry) (omitted int, write bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.entries) < cap(l.entries) {
-		l.entries = append(l.entries, entry)
-	} else {
-		l.entries[l.next] = entry
-		l.next = (l.next + 1) % len(l.entries)
+// keep stores the pairs within the bounds.
+func (e *decisionEntry) keep(keysAndValues []any) {
+	clear(e.pairs)
+	e.pairs = e.pairs[:0]
+	left := maxText
+	for i := 0; i < len(keysAndValues) && i < 2*maxReasons && left > 0; i += 2 {
+		value := any("")
+		if i+1 < len(keysAndValues) {
+			value = keysAndValues[i+1]
+		}
+		e.pairs = append(e.pairs, bounded(keysAndValues[i], &left), bounded(value, &left))
 	}
-	if !l.lines.AllowN(entry.at, 1) {
-		l.omitted++
-		return 0, false
+}
+
+// bounded returns the value, or its text cut to what is left, and takes the length of the text from left.
+func bounded(value any, left *int) any {
+	switch v := value.(type) {
+	case bool, int, int32, int64, uint, uint32, uint64, float64, time.Duration:
+		return value
+	case string:
+		if len(v) <= *left {
+			*left -= len(v)
+			return value
+		}
 	}
-	omitted, l.omitted = l.omitted, 0
-	return omitted, true
+	text := cut(fmt.Sprint(value), max(*left, 0))
+	*left -= len(text)
+	return text
 }
 
 // Decisions returns the decisions of the request that are still kept, the earliest first.
@@ -141,12 +171,31 @@
 	for i := range l.entries {
 		e := &l.entries[(l.next+i)%len(l.entries)]
 		if e.requestID == requestID {
-			decisions = append(decisions, Decision{Decision: e.decision, Reasons: e.reasons, Age: Age(now.Sub(e.at))})
+			decisions = append(decisions, Decision{Decision: e.decision, Reasons: e.reasons(), Age: Age(now.Sub(e.at))})
 		}
 	}
 	return decisions
 }
 
+func (e *decisionEntry) reasons() []Reason {
+	var reasons []Reason
+	for i := 0; i < len(e.pairs); i += 2 {
+		reasons = append(reasons, Reason{Key: fmt.Sprint(e.pairs[i]), Value: fmt.Sprint(e.pairs[i+1])})
+	}
+	return reasons
+}
+
+// Flush logs the number of lines left out since the last line, if there are any.
+func (l *DecisionLog) Flush() {
+	l.mu.Lock()
+	leftOut := l.leftOut
+	l.leftOut = 0
+	l.mu.Unlock()
+	if leftOut > 0 {
+		l.log.Info("decisions left out", "left_out", leftOut)
+	}
+}
+
 // cut returns the text, or about its first bytes when it is longer. The copy lets go of the memory of the whole text.
 func cut(text string, most int) string {
 	if len(text) <= most {
--- a/internal/operator/explain_test.go
+++ b/internal/operator/explain_test.go
@@ -48,7 +48,8 @@
 	assert.Assert(t, is.Contains(text, "no answer from c1"))
 }
 
-// Guards against a decision log that grows without bound, forgets the latest decisions or floods the log.
+// Guards against a decision log that grows without bound, forgets the latest decisions, shows those of another request
+// in a place that is used again, or floods the log.
 func TestDecisionLogIsBounded(t *testing.T) {
 	var lines strings.Builder
 	clock := timer.NewManual(time.Unix(0, 0))
@@ -59,16 +60,35 @@
 		log.Record(fmt.Sprint("r", i%2), "d", "n", i, "long", strings.Repeat("x", 9000), "late", strings.Repeat("x", 9000))
 	}
 	clock.Advance(time.Second)
-	log.Record("r0", "last")
+	log.Record("r0", "last", "odd")
 	decisions := log.Decisions("r0")
 	assert.Equal(t, len(decisions), 2)
 	assert.Equal(t, decisions[0].Reasons[0].Value, "8")
 	assert.Equal(t, len(decisions[0].Reasons), 2)
 	assert.Assert(t, len(decisions[0].Reasons[1].Value) < 1100)
 	assert.Equal(t, decisions[0].Age.Duration(), time.Second)
-	assert.Equal(t, decisions[1].Decision, "last")
+	assert.DeepEqual(t, decisions[1], operator.Decision{
+		Decision: "last", Reasons: []operator.Reason{{Key: "odd"}},
+	})
 	assert.Equal(t, strings.Count(lines.String(), "\n"), 3)
-	assert.Assert(t, is.Contains(lines.String(), "msg=last request=r0 omitted=8"))
+	assert.Assert(t, strings.HasSuffix(lines.String(), "msg=decision request=r0 decision=last odd=\"\" left_out=8\n"))
+	log.Record("r1", "a")
+	log.Record("r1", "b")
+	log.Flush()
+	assert.Assert(t, strings.HasSuffix(lines.String(), "msg=\"decisions left out\" left_out=1\n"))
+}
+
+// Guards against allocations on the request path beyond those of the arguments.
+func TestDecisionLogRecordsWithoutAllocation(t *testing.T) {
+	log := operator.NewDecisionLog(operator.DecisionLogOptions{
+		Timers: timer.NewManual(time.Unix(0, 0)), Capacity: 4, LinesPerSecond: -1,
+	})
+	pairs := []any{"host", "h1", "wait", time.Millisecond, "status", 200}
+	record := func() { log.Record("r1", "answer", pairs...) }
+	for range 100 {
+		record()
+	}
+	assert.Equal(t, testing.AllocsPerRun(1000, record), 0.0)
 }
 
 // Guards against paths that are missing, and against a metric or decision that a plain HTTP client can't read.
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -70,7 +70,7 @@
 func (d *fakeDaemon) member() operator.Member {
 	return operator.Member{
 		Host: d.state.Host, AvailabilityZone: d.state.AvailabilityZone, Operator: d.address(), Version: d.state.Version,
-		HeardAge: operator.NewAge(time.Second),
+		HeardAge: operator.NewAge(time.Second), Registered: true,
 	}
 }
 
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -30,6 +30,8 @@
 	AppliedAge *Age `json:"applied_age_ms,omitempty"`
 	// Refused is the newest refused version, or nil.
 	Refused *Refusal `json:"refused,omitempty"`
+	// Pending lists newer versions that the daemon has heard of and not applied.
+	Pending []Pending `json:"pending,omitempty"`
 	// SourceAge is the time since any daemon that this one heard of has heard the source; nil means never.
 	SourceAge *Age `json:"source_age_ms,omitempty"`
 	// PeersAge is the time since the last exchange with any peer; nil means never.
@@ -54,6 +56,15 @@
 	Age Age `json:"age_ms"`
 }
 
+// Pending is a newer version that is not applied yet.
+type Pending struct {
+	Version Version `json:"version"`
+	// Reason is the last failure to fetch it, or empty.
+	Reason string `json:"reason,omitempty"`
+	// Age is the time since the daemon heard of it.
+	Age Age `json:"age_ms"`
+}
+
 // Conflict is a number that was published with several contents.
 type Conflict struct {
 	Number  uint64   `json:"number"`
@@ -70,8 +81,10 @@
 	Version          Version `json:"version"`
 	// HeardAge is the time since any daemon heard from the host directly; nil means never.
 	HeardAge *Age `json:"heard_age_ms,omitempty"`
-	Leaving  bool `json:"leaving"`
-	Reader   bool `json:"reader"`
+	// Registered reports whether the register that the daemon applied names the host.
+	Registered bool `json:"registered"`
+	Leaving    bool `json:"leaving"`
+	Reader     bool `json:"reader"`
 	// Suspect reports that the last exchanges with the host failed.
 	Suspect bool `json:"suspect"`
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -27,6 +27,7 @@
 	ConditionLagging   Condition = "lagging"
 	ConditionCutOff    Condition = "cut off"
 	ConditionRefusing  Condition = "refusing"
+	ConditionWaiting   Condition = "waiting"
 	ConditionConflict  Condition = "conflict"
 	ConditionDead      Condition = "dead"
 	ConditionNotReady  Condition = "not ready"
@@ -192,13 +193,19 @@
 		return list
 	}
 	refused := state.Refused
-	if refused != nil && refused.Version.Compare(state.Version.Version) > 0 {
+	switch {
+	case refused == nil:
+	case refused.Version.Number() == 0:
+		add(ConditionRefusing, &refused.Age, "refuses a manifest that it can't read: %s; publish a corrected version with "+
+			"the next number", refused.Reason)
+	case refused.Version.Compare(state.Version.Version) > 0:
 		add(ConditionRefusing, &refused.Age, "refuses version %s: %s; publish a corrected version with the next number",
 			refused.Version, refused.Reason)
 	}
 	if refused == nil || refused.Version != r.Newest {
 		r.addLagging(state.Version, state, add)
 	}
+	addPending(state, add)
 	if !state.Ready && !state.Draining {
 		add(ConditionNotReady, nil, "serves no caller yet")
 	}
@@ -211,6 +218,20 @@
 	return list
 }
 
+// addPending names the newest version that the daemon tried to fetch in vain, for example because it was published
+// before its parts.
+func addPending(state *State, add addFinding) {
+	var newest *Pending
+	for i, p := range state.Pending {
+		if p.Reason != "" && (newest == nil || p.Version.Compare(newest.Version.Version) > 0) {
+			newest = &state.Pending[i]
+		}
+	}
+	if newest != nil && newest.Version.Compare(state.Version.Version) > 0 {
+		add(ConditionWaiting, &newest.Age, "can't fetch version %s yet: %s", newest.Version, newest.Reason)
+	}
+}
+
 type addFinding func(c Condition, since *Age, format string, args ...any)
 
 // addSilent judges a host that did not answer by what its peers say.
@@ -222,6 +243,8 @@
 		r.addLagging(o.member.Version, nil, add)
 	case o.member.Leaving:
 		add(ConditionLeft, heard, "is leaving and was stopped")
+	case !o.member.Registered && !r.Newest.IsZero():
+		add(ConditionLeft, heard, "is not in the register and was stopped")
 	case heard == nil:
 		add(ConditionDead, nil, "was never heard by any peer; from here: %v", o.err)
 	default:
--- a/internal/operator/status_test.go
+++ b/internal/operator/status_test.go
@@ -60,6 +60,12 @@
 			d.state.Version = oldVersion
 			d.state.Refused = &operator.Refusal{Version: newVersion, Reason: "no route leads to service x", Age: *age}
 		}, "b1 refusing for 1m0s: refuses version 8-bb: no route leads to service x; publish a corrected version", false},
+		{"unreadable", func(d *fakeDaemon, _ *operator.Member) {
+			d.state.Refused = &operator.Refusal{Reason: "not a manifest", Age: *age}
+		}, "b1 refusing for 1m0s: refuses a manifest that it can't read: not a manifest;", false},
+		{"waiting", func(d *fakeDaemon, _ *operator.Member) {
+			d.state.Pending = []operator.Pending{{Version: version(9, "cc"), Reason: "no part 12ab", Age: *age}}
+		}, "b1 waiting for 1m0s: can't fetch version 9-cc yet: no part 12ab", false},
 		{"conflict", func(d *fakeDaemon, _ *operator.Member) { d.state.Version = version(8, "ab") },
 			"conflict: version 8 was published with 2 contents; publish version 9", false},
 		{"not ready", func(d *fakeDaemon, _ *operator.Member) { d.state.Ready = false }, "b1 not ready", false},
@@ -75,6 +81,10 @@
 			"b1 unreachable from here: heard by peers 1s ago", true},
 		{"draining", func(d *fakeDaemon, _ *operator.Member) { d.state.Draining, d.state.Ready = true, false },
 			"b1 draining", true},
+		{"not registered", func(d *fakeDaemon, m *operator.Member) {
+			d.server.Close()
+			m.HeardAge, m.Registered = age, false
+		}, "b1 left for 1m0s: is not in the register", true},
 		{"left", func(d *fakeDaemon, m *operator.Member) { d.server.Close(); m.HeardAge, m.Leaving = age, true },
 			"b1 left for 1m0s", true},
 	}
