idempotency: tell other daemons of this daemon's own epochs

An epoch whose only owner was this host was dropped at once, since the host never asks itself. A daemon that learned from it then didn't ask it either. The fake network no longer hands over the answer of a call that timed out.

--- a/internal/idempotency/history.go
+++ b/internal/idempotency/history.go
@@ -124,12 +124,17 @@
 	if _, ok := followed[host]; ok {
 		return
 	}
-	if version, ok := h.seen(host); ok && version.Compare(until) >= 0 {
+	version, ok := h.version(), true
+	if host != h.host {
+		version, ok = h.seen(host)
+	}
+	if ok && version.Compare(until) >= 0 {
 		followed[host] = now
 	}
 }
 
-// over reports whether no host of the epoch must be asked any more.
+// over reports whether no host of the epoch must be asked any more. This host counts too: other daemons may learn the
+// epoch from this one and must then ask it.
 func (h *history) over(e *epoch, now time.Time) bool {
 	if now.Sub(e.ended) >= OwnerObligation {
 		return true
@@ -141,7 +146,7 @@
 
 // obliged reports whether the host may have run the key in the epoch so lately that it must be asked.
 func (h *history) obliged(e *epoch, host string, a age, now time.Time) bool {
-	if host == h.host || now.Sub(e.ended) >= OwnerObligation {
+	if now.Sub(e.ended) >= OwnerObligation {
 		return false
 	}
 	followed, ok := e.followed[host]
@@ -152,7 +157,8 @@
 func (h *history) earlier(id recordID, a age, now time.Time) map[string]string {
 	list := make(map[string]string)
 	for _, e := range h.epochs[id.service] {
-		if t, ok := Owner(e.service, id.key); ok && h.obliged(e, t.Host(), a, now) {
+		t, ok := Owner(e.service, id.key)
+		if ok && t.Host() != h.host && h.obliged(e, t.Host(), a, now) {
 			list[t.Host()] = h.address(t.Host())
 		}
 	}
--- a/internal/idempotency/scenario_test.go
+++ b/internal/idempotency/scenario_test.go
@@ -152,6 +152,38 @@
 	})
 }
 
+// Guards against a daemon that doesn't tell that it was an owner itself, since it never has to ask itself.
+func TestDaemonTellsOfItsOwnEpoch(t *testing.T) {
+	scenario(t, func(w *world) {
+		w.move("a", hosts...)
+		w.move("b")
+		w.move("c")
+		last := len(w.configs) - 1
+		w.kill("c")
+		w.start("c", last)
+		w.setLink("c", "b", false)
+		w.setLink("c", "d", false)
+		w.timers.Advance(6 * time.Second)
+		w.wait()
+		k := w.newKey(true, 0)
+		w.sendTo("a", k)
+		w.relax()
+		w.complete(t)
+		w.apply("a", last-1)
+		w.apply("a", last)
+		w.settle(func(*message) bool { return true }, errLost)
+		for range 3 { // each tick asks another daemon; only a is in reach
+			w.timers.Advance(time.Second)
+			w.wait()
+			w.relax()
+			w.settle(func(*message) bool { return true }, errLost)
+		}
+		b := w.sendTo("c", k)
+		w.relax()
+		assertReplayed(t, b)
+	})
+}
+
 // Guards against a young daemon that runs a key newer than itself while a host, which lost its target by a version that
 // the daemon never applied, still runs keys. Found by the model test.
 func TestYoungDaemonKnowsNoRemovedOwner(t *testing.T) {
--- a/internal/idempotency/world_test.go
+++ b/internal/idempotency/world_test.go
@@ -97,15 +97,19 @@
 	life     int
 	to       string
 	claim    *idempotency.Claim // nil for a question for the history
-	answer   idempotency.Answer
-	history  idempotency.History
-	err      error
+	reply    outcome
 	asked    bool // the request was delivered
 	answered bool // the reply is on its way
-	result   chan struct{}
+	result   chan outcome
 	settled  bool // the sender got the reply or gave up
 }
 
+type outcome struct {
+	answer  idempotency.Answer
+	history idempotency.History
+	err     error
+}
+
 func newWorld(first int, fail func(string, ...any)) *world {
 	w := &world{
 		timers:  timer.NewManual(time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)),
@@ -397,24 +401,23 @@
 }
 
 func (c *claimer) Claim(ctx context.Context, peer string, claim idempotency.Claim) (idempotency.Answer, error) {
-	m := &message{from: c.daemon, life: c.life, to: peer, claim: &claim, result: make(chan struct{})}
-	err := c.call(ctx, m)
-	return m.answer, err
+	o := c.call(ctx, peer, &claim)
+	return o.answer, o.err
 }
 
 func (c *claimer) History(ctx context.Context, peer string) (idempotency.History, error) {
-	m := &message{from: c.daemon, life: c.life, to: peer, result: make(chan struct{})}
-	err := c.call(ctx, m)
-	return m.history, err
+	o := c.call(ctx, peer, nil)
+	return o.history, o.err
 }
 
-func (c *claimer) call(ctx context.Context, m *message) error {
+func (c *claimer) call(ctx context.Context, peer string, claim *idempotency.Claim) outcome {
+	m := &message{from: c.daemon, life: c.life, to: peer, claim: claim, result: make(chan outcome, 1)}
 	c.daemon.world.fresh <- m
 	select {
-	case <-m.result:
-		return m.err
+	case o := <-m.result:
+		return o
 	case <-ctx.Done():
-		return ctx.Err()
+		return outcome{err: ctx.Err()}
 	}
 }
 
@@ -431,9 +434,9 @@
 
 func (m *message) serve(ctx context.Context, store *idempotency.Store) {
 	if m.claim == nil {
-		m.history = store.Tell()
+		m.reply.history = store.Tell()
 	} else {
-		m.answer, m.err = store.Answer(ctx, *m.claim)
+		m.reply.answer, m.reply.err = store.Answer(ctx, *m.claim)
 	}
 	m.answered = true
 }
@@ -444,23 +447,20 @@
 		return
 	}
 	if m.claim != nil {
-		w.stats[fmt.Sprint("answer ", m.answer.State)]++
+		w.stats[fmt.Sprint("answer ", m.reply.answer.State)]++
 	}
 	m.settled = true
-	w.note("%s answers %s: %d", m.to, m.from.host, m.answer.State)
-	close(m.result)
+	w.note("%s answers %s: %d", m.to, m.from.host, m.reply.answer.State)
+	m.result <- m.reply
 	w.wait()
 }
 
-// settle gives the senders of the messages an error. Their requests may still arrive.
+// settle gives the senders of the messages an error. Their requests may have arrived, or may still do so.
 func (w *world) settle(which func(m *message) bool, err error) {
 	for _, m := range w.messages {
 		if !m.settled && which(m) {
 			m.settled = true
-			if !m.asked {
-				m.err = err
-			}
-			close(m.result)
+			m.result <- outcome{err: err}
 		}
 	}
 	w.wait()
