--- a/internal/idempotency/scenario_test.go
+++ b/internal/idempotency/scenario_test.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// tick lets seconds pass one by one. Messages that can be delivered are, and the others are lost.
+func (w *world) tick(seconds int) {
+	for range seconds {
+		w.timers.Advance(time.Second)
+		w.wait()
+		w.relax()
+		w.settle(func(*message) bool { return true }, errLost)
+	}
+}
+
 // complete carries the only permission to run through.
 func (w *world) complete(t *testing.T) {
 	t.Helper()
@@ -141,11 +151,7 @@
 		w.timers.Advance(time.Minute)
 		w.move("a", "a", "c")
 		assertRefused(t, w.sendTo("a", k), idempotency.KindEarlierUnknown)
-		for range 3 { // each tick asks another daemon; only c knows
-			w.relax()
-			w.timers.Advance(time.Second)
-			w.wait()
-		}
+		w.tick(3) // each tick asks another daemon; only c knows
 		b := w.sendTo("a", k)
 		w.relax()
 		assertReplayed(t, b)
@@ -172,12 +178,7 @@
 		w.apply("a", last-1)
 		w.apply("a", last)
 		w.settle(func(*message) bool { return true }, errLost)
-		for range 3 { // each tick asks another daemon; only a is in reach
-			w.timers.Advance(time.Second)
-			w.wait()
-			w.relax()
-			w.settle(func(*message) bool { return true }, errLost)
-		}
+		w.tick(3) // each tick asks another daemon; only a is in reach
 		b := w.sendTo("c", k)
 		w.relax()
 		assertReplayed(t, b)
@@ -205,6 +206,31 @@
 	})
 }
 
+// Guards against a daemon whose gap closes because all hosts followed, and that forgets what they ran before they did.
+func TestGapClosesForKeysAfterTheLastFollower(t *testing.T) {
+	scenario(t, func(w *world) {
+		w.move("b")
+		w.move("a")
+		for i, h := range hosts {
+			w.kill(h)
+			w.start(h, len(w.configs)-1-min(i, 1)) // only a has the last version
+		}
+		w.exchangeAll()
+		w.tick(7)
+		k := w.newKey(true, 0)
+		w.sendTo("b", k)
+		w.relax()
+		w.complete(t)
+		for _, h := range hosts {
+			w.apply(h, len(w.configs)-1)
+		}
+		w.exchangeAll()
+		w.tick(7)
+		assertRefused(t, w.sendTo("a", k), idempotency.KindEarlierUnknown)
+		assert.Assert(t, w.sendTo("a", w.newKey(true, 0)).run != nil)
+	})
+}
+
 // Guards against a daemon that runs, or gives up, what its predecessor on the host may have run.
 func TestYoungDaemon(t *testing.T) {
 	scenario(t, func(w *world) {
