--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,8 +11,9 @@
 // daemons within about 10 rounds, or 20 s. Until an ingress daemon is informed, it sends the fingerprint to any
 // target; each further send by such a daemon to a target that isn't informed either can take down one target more.
 // With u such sends, and when every informed daemon sends a suspect only to the target that Confine returns, at most
-// k + u + 1 targets go down: the last one is the confined target, where the second crash quarantines the fingerprint.
-// How long the quarantine takes to spread no longer matters, since that target already refuses.
+// k + u + 1 targets go down: the last one is the confined target, where the second crash quarantines the fingerprint
+// (the third one, if that target wasn't informed at the first). How long the quarantine takes to spread no longer
+// matters, since that target already refuses.
 // For one caller that sends again every s seconds, u is at most 20/s; it is 0 for requests with an idempotency key,
 // which go to one owner anyway, and for sends through the ingress daemon that saw the crash, if it merges the
 // suspect at once. Without Confine, the second spread counts too, and the bound is k + 2u + 1.
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,353 @@
+package quarantine_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cicadacross"
+	"cicadacross/internal/failure"
+	"cicadacross/internal/quarantine"
+	"cicadacross/internal/timer"
+)
+
+// TestMain fixes seed and size of the property tests, so that every run takes the same course.
+func TestMain(m *testing.M) {
+	fixed := map[string]string{
+		"rapid.seed": "1", "rapid.checks": "500", "rapid.steps": "100", "rapid.nofailfile": "true",
+	}
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func newKeeper(host string, timers *timer.Manual) *quarantine.Keeper {
+	return quarantine.New(quarantine.Options{Host: host, Timers: timers})
+}
+
+// tryEnter enters without waiting.
+func tryEnter(k *quarantine.Keeper, fingerprint uint64) (func(), error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return k.Enter(ctx, fingerprint)
+}
+
+func kindOf(err error) quarantine.Kind {
+	kind, _ := failure.KindOf[quarantine.Kind](err)
+	return kind
+}
+
+func ExampleKeeper() {
+	keeper := newKeeper("h1", timer.NewManual(time.Unix(0, 0)))
+	fingerprint := quarantine.Fingerprint("portal", "POST", "/releases/12", []byte("title=x"))
+	for range 2 {
+		leave, _ := keeper.Enter(context.Background(), fingerprint)
+		keeper.Crashed()
+		leave()
+	}
+	_, err := keeper.Enter(context.Background(), fingerprint)
+	fmt.Println(err)
+	// Output: enter: the request was in progress at 2 crashes, last on host "h1"
+}
+
+// Guards against two requests with one fingerprint where the boundary between their parts differs.
+func TestFingerprintSeparatesParts(t *testing.T) {
+	assert.Assert(t, quarantine.Fingerprint("s", "GET", "/a", nil) != quarantine.Fingerprint("s", "GE", "T/a", nil))
+	long := make([]byte, 2*quarantine.FingerprintBody)
+	long[quarantine.FingerprintBody] = 1
+	whole := quarantine.Fingerprint("s", "GET", "/a", long)
+	assert.Equal(t, whole, quarantine.Fingerprint("s", "GET", "/a", long[:quarantine.FingerprintBody]))
+}
+
+// Guards against a suspect that starves: it waits for the other suspect and then runs.
+func TestSuspectWaitsForTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := newKeeper("h1", timer.NewManual(time.Unix(0, 0)))
+		for _, f := range []uint64{1, 2} {
+			_, err := tryEnter(keeper, f)
+			assert.NilError(t, err)
+		}
+		keeper.Crashed()
+		leave, err := tryEnter(keeper, 1)
+		assert.NilError(t, err)
+		w := &waiter{}
+		go w.run(keeper, 2)
+		synctest.Wait()
+		assert.Assert(t, w.leave == nil)
+		leave()
+		synctest.Wait()
+		assert.Assert(t, w.leave != nil)
+		w.leave()
+		assert.Equal(t, len(keeper.Suspects()), 0)
+	})
+}
+
+type waiter struct{ leave func() }
+
+func (w *waiter) run(keeper *quarantine.Keeper, fingerprint uint64) {
+	w.leave, _ = keeper.Enter(context.Background(), fingerprint)
+}
+
+// Guards against two daemons that keep a crash alive by telling each other of it, each time a little younger.
+func TestToldCrashExpires(t *testing.T) {
+	timers := timer.NewManual(time.Unix(0, 0))
+	a, b := newKeeper("a", timers), newKeeper("b", timers)
+	_, _ = tryEnter(a, 1)
+	a.Crashed()
+	for range 10 * 60 {
+		fromA, fromB := a.Suspects(), b.Suspects()
+		timers.Advance(time.Second) // the messages take a second
+		a.Merge(fromB)
+		b.Merge(fromA)
+	}
+	timers.Advance(5 * time.Second)
+	assert.Equal(t, len(a.Suspects())+len(b.Suspects()), 0)
+}
+
+// model is what one keeper should know: a crash count and time for each fingerprint.
+type model struct {
+	crashes    map[uint64]int
+	last       map[uint64]time.Time
+	inProgress map[uint64][]func()
+	suspect    map[uint64]bool // entered as a suspect
+}
+
+func (m *model) expire(now time.Time) {
+	for f, last := range m.last {
+		if now.Sub(last) >= 10*time.Minute {
+			delete(m.last, f)
+			delete(m.crashes, f)
+		}
+	}
+}
+
+func (m *model) suspectRuns() bool {
+	for f, leaves := range m.inProgress {
+		if len(leaves) > 0 && m.crashes[f] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a request that runs although quarantined, suspects that run together, innocents that stay suspects,
+// and lists without bound.
+func TestKeeperFollowsModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		timers := timer.NewManual(time.Unix(1000, 0))
+		keeper := newKeeper("h1", timers)
+		m := &model{
+			crashes: make(map[uint64]int), last: make(map[uint64]time.Time),
+			inProgress: make(map[uint64][]func()), suspect: make(map[uint64]bool),
+		}
+		fingerprint := rapid.Uint64Range(1, 5)
+		rt.Repeat(map[string]func(*rapid.T){
+			"enter": func(rt *rapid.T) {
+				f := fingerprint.Draw(rt, "fingerprint")
+				m.expire(timers.Now())
+				leave, err := tryEnter(keeper, f)
+				switch {
+				case m.crashes[f] >= 2:
+					assert.Equal(rt, kindOf(err), quarantine.KindQuarantined)
+				case m.crashes[f] == 1 && m.suspectRuns():
+					assert.Equal(rt, kindOf(err), quarantine.KindWaiting)
+				default:
+					assert.NilError(rt, err)
+					m.suspect[f] = m.crashes[f] == 1
+					m.inProgress[f] = append(m.inProgress[f], leave)
+				}
+			},
+			"leave": func(rt *rapid.T) {
+				f := fingerprint.Draw(rt, "fingerprint")
+				m.expire(timers.Now())
+				if n := len(m.inProgress[f]); n > 0 {
+					m.inProgress[f][n-1]()
+					m.inProgress[f] = m.inProgress[f][:n-1]
+					if m.suspect[f] && m.crashes[f] == 1 {
+						delete(m.crashes, f)
+						delete(m.last, f)
+					}
+				}
+			},
+			"crash": func(*rapid.T) {
+				m.expire(timers.Now())
+				keeper.Crashed()
+				m.crash(timers.Now())
+			},
+			"advance": func(rt *rapid.T) {
+				timers.Advance(time.Duration(rapid.IntRange(1, 400).Draw(rt, "seconds")) * time.Second)
+			},
+			"": func(rt *rapid.T) {
+				m.expire(timers.Now())
+				for f := uint64(1); f <= 5; f++ {
+					assert.Equal(rt, keeper.Blocked(f), m.crashes[f] >= 2)
+					assert.Equal(rt, keeper.Suspect(f), m.crashes[f] >= 1)
+				}
+				assert.Equal(rt, len(keeper.Suspects()), len(m.crashes))
+			},
+		})
+	})
+}
+
+func (m *model) crash(now time.Time) {
+	var suspects []uint64
+	for f, leaves := range m.inProgress {
+		switch {
+		case len(leaves) == 0:
+		case m.crashes[f] > 0:
+			suspects = append(suspects, f)
+			m.last[f] = now
+		default:
+			m.crashes[f], m.last[f] = 1, now
+		}
+	}
+	if len(suspects) == 1 {
+		m.crashes[suspects[0]] = 2
+	}
+	m.inProgress = make(map[uint64][]func())
+}
+
+// Guards against a merge that forgets or weakens what is known, or that grows without bound.
+func TestMergeIsMonotoneAndBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		keeper := newKeeper("h1", timer.NewManual(time.Unix(1000, 0)))
+		told := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) cicadacross.Suspect {
+			return cicadacross.Suspect{
+				Fingerprint: rapid.Uint64Range(1, 400).Draw(rt, "fingerprint"),
+				Crashes:     rapid.IntRange(-1, 4).Draw(rt, "crashes"),
+				Age:         time.Duration(rapid.IntRange(-10, 900).Draw(rt, "age")) * time.Second,
+			}
+		}), 0, 600).Draw(rt, "told")
+		blocked := make(map[uint64]bool)
+		for _, s := range told {
+			keeper.Merge([]cicadacross.Suspect{s})
+			if s.Crashes >= 2 && s.Age < 10*time.Minute {
+				blocked[s.Fingerprint] = true
+			}
+		}
+		assert.Assert(rt, len(keeper.Suspects()) <= quarantine.MaxSuspects)
+		known := 0
+		for f := uint64(1); f <= 400; f++ {
+			if keeper.Suspect(f) {
+				known++
+			}
+		}
+		assert.Assert(rt, known <= 256, "%d known", known)
+		if known < 256 { // nothing had to give way
+			for f := range blocked {
+				assert.Assert(rt, keeper.Blocked(f), "quarantined fingerprint %d was forgotten", f)
+			}
+		}
+	})
+}
+
+// fleet is a service whose ingress daemons know of suspects only after an exchange.
+type fleet struct {
+	timers  *timer.Manual
+	service *cicadacross.Service
+	keepers map[string]*quarantine.Keeper
+	down    map[string]bool
+}
+
+// Guards against a request that takes down more targets than the package states: those that it was running on, one for
+// each send by a daemon that wasn't informed, and the confined one.
+func TestCrashingRequestTakesDownFewTargets(t *testing.T) {
+	const crasher = 42
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(30)
+		hosts := rapid.Permutation(f.hosts()).Draw(rt, "hosts")
+		running := rapid.IntRange(1, 3).Draw(rt, "running")
+		for _, h := range hosts[:running] {
+			_, err := tryEnter(f.keepers[h], crasher)
+			assert.NilError(rt, err)
+		}
+		for _, h := range hosts[:running] {
+			f.crash(h)
+		}
+		uninformed := 0
+		for range rapid.IntRange(0, 60).Draw(rt, "sends") {
+			ingress := rapid.SampledFrom(hosts).Draw(rt, "ingress")
+			target := rapid.SampledFrom(hosts).Draw(rt, "target")
+			if f.keepers[ingress].Suspect(crasher) {
+				confined, _ := quarantine.Confine(f.service, crasher)
+				target = confined.Host()
+			} else if !f.down[target] && !f.keepers[target].Blocked(crasher) {
+				uninformed++
+			}
+			if _, err := tryEnter(f.keepers[target], crasher); err == nil {
+				f.crash(target)
+			}
+			f.exchange(rapid.SampledFrom(hosts).Draw(rt, "one"), rapid.SampledFrom(hosts).Draw(rt, "other"))
+		}
+		assert.Assert(rt, len(f.down) <= running+uninformed+1, "%d of %d+%d+1 targets are down",
+			len(f.down), running, uninformed)
+	})
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{
+		timers: timer.NewManual(time.Unix(0, 0)), keepers: make(map[string]*quarantine.Keeper), down: make(map[string]bool),
+	}
+	var opts cicadacross.ConfigurationOptions
+	for i := range size {
+		host := fmt.Sprint("h", i)
+		f.keepers[host] = newKeeper(host, f.timers)
+		opts.Targets = append(opts.Targets, cicadacross.NewTarget(cicadacross.TargetOptions{
+			Name: host, Service: "portal", Host: host,
+		}))
+	}
+	f.service, _ = cicadacross.NewConfiguration(opts).Service("portal")
+	return f
+}
+
+func (f *fleet) hosts() []string {
+	var list []string
+	for _, t := range f.service.Targets() {
+		list = append(list, t.Host())
+	}
+	return list
+}
+
+func (f *fleet) crash(host string) {
+	f.keepers[host].Crashed()
+	f.down[host] = true
+}
+
+func (f *fleet) exchange(a, b string) {
+	fromA, fromB := f.keepers[a].Suspects(), f.keepers[b].Suspects()
+	f.keepers[a].Merge(fromB)
+	f.keepers[b].Merge(fromA)
+}
+
+// Guards against innocent requests that stay suspects: after one crash each is cleared by its next run, although other
+// daemons still tell of it.
+func TestInnocentsAreClearedByTheirNextRun(t *testing.T) {
+	timers := timer.NewManual(time.Unix(0, 0))
+	keeper, other := newKeeper("h1", timers), newKeeper("h2", timers)
+	for f := uint64(1); f <= 10; f++ {
+		_, err := tryEnter(keeper, f)
+		assert.NilError(t, err)
+	}
+	keeper.Crashed()
+	other.Merge(keeper.Suspects())
+	timers.Advance(time.Second)
+	for f := uint64(1); f <= 10; f++ {
+		leave, err := tryEnter(keeper, f)
+		assert.NilError(t, err)
+		leave()
+		keeper.Merge(other.Suspects())
+	}
+	assert.Equal(t, len(keeper.Suspects()), 0)
+}
