--- a/internal/idempotency/begin.go
+++ b/internal/idempotency/begin.go
@@ -91,6 +91,7 @@
 	if a.record == nil {
 		a.record = s.hold(r, a)
 	}
+	// The order is fixed, so that a test takes the same course each time.
 	for _, host := range slices.Sorted(maps.Keys(asks)) {
 		if !a.fenced[host] {
 			claim := Claim{
@@ -140,7 +141,10 @@
 		}
 		return nil, newError("begin", KindStoreFull, "all %d records are within the repeat window", len(s.records))
 	}
-	if r != nil {
+	if r != nil && len(r.grants) > 0 {
+		if asks == nil {
+			asks = make(map[string]string)
+		}
 		for _, g := range r.grants {
 			asks[g.host] = s.history.address(g.host)
 		}
--- a/internal/idempotency/history.go
+++ b/internal/idempotency/history.go
@@ -153,12 +153,16 @@
 	return !ok || now.Sub(followed) < h.window && !a.after(followed)
 }
 
-// earlier returns the owners of the key by earlier configurations that must be asked, as host and peer address.
+// earlier returns the owners of the key by earlier configurations that must be asked, as host and peer address. It
+// returns nil when there are none, as most of the time.
 func (h *history) earlier(id recordID, a age, now time.Time) map[string]string {
-	list := make(map[string]string)
+	var list map[string]string
 	for _, e := range h.epochs[id.service] {
 		t, ok := Owner(e.service, id.key)
 		if ok && t.Host() != h.host && h.obliged(e, t.Host(), a, now) {
+			if list == nil {
+				list = make(map[string]string)
+			}
 			list[t.Host()] = h.address(t.Host())
 		}
 	}
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -6,6 +6,9 @@
 // configuration and the asker has given it up in turn. So of two owners at different versions at most one can run a
 // key, whichever version the sender used.
 //
+// A fence speaks of the answering host only. When a key moved from a first owner to a second and on to a third, the
+// third asks both itself: the second may not have asked the first.
+//
 // A daemon that has just started knows neither what its predecessor ran nor which other hosts owned its keys by
 // versions that it never applied. The first is solved by age: it refuses keys that may be older than itself, for one
 // repeat window. The second is the gap in its history: while the gap is open, it refuses. The gap closes when another
