command: add demo, the whole path in one process

The demo starts a platform stand-in, four upstreams and four daemons on free loopback ports, publishes, sends requests, takes an upstream and a daemon away and says what happened. A step that fails ends it with an error that names the step.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -38,7 +38,7 @@
 		Writer:    opts.Out,
 		ErrWriter: opts.Err,
 		Suggest:   true,
-		Commands:  []*cli.Command{newCheck(), newRender(), newDiff(), newStatus(), newExplain()},
+		Commands:  []*cli.Command{newCheck(), newRender(), newDiff(), newStatus(), newExplain(), newDemo()},
 		// Run decides on the exit code; the library would end the process.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action:         refuseUnknownCommand,
@@ -63,12 +63,17 @@
 		return ExitGood
 	}
 	_, _ = fmt.Fprintf(opts.Err, "cicadacross: %v\n", err)
-	if kind, ok := failure.KindOf[Kind](err); ok && (kind == KindFaults || kind == KindNotFollowed) {
+	if kind, ok := failure.KindOf[Kind](err); ok && isAnswer(kind) {
 		return ExitBad
 	}
 	return ExitFailed
 }
 
+// isAnswer reports whether an error of the kind is a bad answer rather than none.
+func isAnswer(kind Kind) bool {
+	return kind == KindFaults || kind == KindNotFollowed || kind == KindDemo
+}
+
 // refuseUnknownCommand runs when no subcommand has the name of the first argument.
 func refuseUnknownCommand(_ context.Context, root *cli.Command) error {
 	if name := root.Args().First(); name != "" {
--- a/internal/command/error.go
+++ b/internal/command/error.go
@@ -17,6 +17,8 @@
 	KindUnreachable Kind = "unreachable"
 	// KindNotFollowed means that hosts lag, or that the fleet knows nothing of a request.
 	KindNotFollowed Kind = "not_followed"
+	// KindDemo means that a step of the demo failed.
+	KindDemo Kind = "demo"
 )
 
 // Error is the error type of this package.
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -57,9 +57,18 @@
 	longestHostSetting = 253
 )
 
+// DefaultSettings returns the settings with every value that has a default.
+func DefaultSettings() Settings {
+	return Settings{
+		Admission: "share", Balancer: "least", Readers: ReadersZone, LogLevel: "info",
+		MaxQueue: defaultMaxQueue, DecisionLines: defaultDecisions, RepeatWindow: defaultWindow,
+	}
+}
+
 // Flags returns the command-line flags that fill the settings. Each flag can be given as an environment variable, for
 // example --listen-peer as CICADACROSS_LISTEN_PEER.
 func (s *Settings) Flags() []cli.Flag {
+	defaults := DefaultSettings()
 	return []cli.Flag{
 		text("host", "name of this host in the register", "", &s.Host),
 		text("availability-zone", "availability zone of this host", "", &s.AvailabilityZone),
@@ -75,14 +84,16 @@
 			Sources: cli.EnvVars(environmentName("seeds")), Destination: &s.Seeds,
 		},
 		text("fleet-key", "secret that all daemons share; give it as environment variable", "", &s.FleetKey),
-		text("admission", "admission policy: share, fifo or priority", "share", &s.Admission),
-		text("balancer", "choice of target: least or roundrobin", "least", &s.Balancer),
-		text("readers", "daemons that watch the source: zone (a few in each zone) or all", ReadersZone, &s.Readers),
-		text("log-level", "lowest level that is logged: debug, info, warn or error", "info", &s.LogLevel),
-		number("max-queue", "requests that may wait for a slot", defaultMaxQueue, &s.MaxQueue),
-		number("decision-lines", "routing decisions logged a second, the rest is counted", defaultDecisions,
+		text("admission", "admission policy: share, fifo or priority", defaults.Admission, &s.Admission),
+		text("balancer", "choice of target: least or roundrobin", defaults.Balancer, &s.Balancer),
+		text("readers", "daemons that watch the source: zone (a few in each zone) or all", defaults.Readers,
+			&s.Readers),
+		text("log-level", "lowest level that is logged: debug, info, warn or error", defaults.LogLevel,
+			&s.LogLevel),
+		number("max-queue", "requests that may wait for a slot", defaults.MaxQueue, &s.MaxQueue),
+		number("decision-lines", "routing decisions logged a second, the rest is counted", defaults.DecisionLines,
 			&s.DecisionLines),
-		duration("repeat-window", "time within which a caller may repeat an idempotency key", defaultWindow,
+		duration("repeat-window", "time within which a caller may repeat an idempotency key", defaults.RepeatWindow,
 			&s.RepeatWindow),
 		duration("drain-limit", "longest wait for requests in progress on shutdown; 0 means no limit", 0, &s.DrainLimit),
 	}
