integration: test status, explain, demo, settings, memory and linking

Each test runs the real binaries. The status test has one host each way of not following, and its JSON form. The shutdown test drains for longer than the 5.5 s after which go-zero would end the process.

--- /dev/null
+++ b/integration/operator_test.go
@@ -0,0 +1,300 @@
+package integration_test
+
+import (
+	"bytes"
+	"context"
+	"debug/elf"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"cicadacross"
+	"cicadacross/integration/harness"
+	"cicadacross/internal/command"
+	"cicadacross/internal/operator"
+	"cicadacross/internal/register"
+)
+
+// silence is the time without an exchange after which status counts a host as dead or cut off.
+const silence = 10 * time.Second
+
+func statusOf(t *testing.T, f *harness.Fleet, flags ...string) harness.CommandResult {
+	t.Helper()
+	var addresses []string
+	for _, h := range f.Hosts("") {
+		addresses = append(addresses, h.OperatorAddress())
+	}
+	return harness.RunCommand(t, append([]string{"status", "--operator=" + strings.Join(addresses, ",")}, flags...)...)
+}
+
+// invalidValues returns a version whose parts match their digests and whose rules name a rank that doesn't exist.
+func invalidValues(t *testing.T, f *harness.Fleet, version uint64) map[string][]byte {
+	t.Helper()
+	values := harness.Values(f.Publication(version, ""))
+	key := partKey(values)
+	bad := bytes.Replace(values[key], []byte(`"rank":"normal"`), []byte(`"rank":"nirmal"`), 1)
+	assert.Assert(t, !bytes.Equal(bad, values[key]), "the edit changes nothing")
+	digest := register.Digest(bad)
+	old := []byte(strings.TrimPrefix(key, cicadacross.KeyPartPrefix))
+	values[cicadacross.KeyManifest] = bytes.Replace(values[cicadacross.KeyManifest], old, []byte(digest), 1)
+	values[cicadacross.KeyPartPrefix+digest] = bad
+	return values
+}
+
+// Guards against an operator who is told that the fleet has followed when it has not, or who is sent to the wrong host
+// or the wrong cause.
+func TestStatusNamesWhatEachHostLacks(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{Zones: 3})
+	good := statusOf(t, f, "--expect=1", "--wait=14s")
+	assert.Equal(t, good.Code, command.ExitGood, "%v", good)
+	assert.Assert(t, is.Contains(good.Out, "6 of 6 hosts follow"))
+
+	f.CutZone("zone-b", true)
+	f.CutZone("zone-c", true)
+	f.Host("zone-c-2").Daemon.Kill()
+	f.Publish(2, "")
+	harness.Eventually(t, convergence, "version 2 in zone-a", func() bool {
+		return f.Host("zone-a-1").AppliedVersion(2) && f.Host("zone-a-2").AppliedVersion(2)
+	})
+	assert.NilError(t, f.PlatformControl().Publish(context.Background(), invalidValues(t, f, 3)))
+	var last harness.CommandResult
+	expected := []string{
+		"zone-a-1 refusing for ", "zone-a-2 refusing for ", "nirmal", "zone-b-1 lagging for ", "zone-b-2 lagging for ",
+		"zone-c-1 cut off for ", "zone-c-2 dead for ", "zone-b: 0 of 2 hosts follow", "0 of 6 hosts follow",
+	}
+	defer func() {
+		if t.Failed() {
+			t.Logf("last answer: %s%s", last.Out, last.Err)
+		}
+	}()
+	harness.Eventually(t, silence+recovery, "status names each host for what it is", func() bool {
+		last = statusOf(t, f)
+		return containsEach(last.Out, expected)
+	})
+	assert.Equal(t, last.Code, command.ExitBad)
+	assertConditions(t, statusOf(t, f, "--json"))
+
+	f.HealZone("zone-b")
+	f.HealZone("zone-c")
+	f.Host("zone-c-2").StartDaemon()
+	f.Publish(4, "")
+	last = statusOf(t, f, "--expect=4", "--wait=14s")
+	assert.Equal(t, last.Code, command.ExitGood)
+	assert.Assert(t, is.Contains(last.Out, "6 of 6 hosts follow"))
+}
+
+func containsEach(text string, parts []string) bool {
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// assertConditions checks the JSON form of the answer, which scripts read.
+func assertConditions(t *testing.T, result harness.CommandResult) {
+	t.Helper()
+	assert.Equal(t, result.Code, command.ExitBad)
+	var report operator.Report
+	assert.NilError(t, json.Unmarshal([]byte(result.Out), &report), result.Out)
+	assert.Assert(t, !report.Followed)
+	assert.Equal(t, report.Newest.Number(), uint64(2))
+	conditions := make(map[string]operator.Condition)
+	for _, zone := range report.Zones {
+		for _, finding := range zone.Findings {
+			conditions[finding.Host] = finding.Condition
+		}
+	}
+	assert.DeepEqual(t, conditions, map[string]operator.Condition{
+		"zone-a-1": operator.ConditionRefusing, "zone-a-2": operator.ConditionRefusing,
+		"zone-b-1": operator.ConditionLagging, "zone-b-2": operator.ConditionLagging,
+		"zone-c-1": operator.ConditionCutOff, "zone-c-2": operator.ConditionDead,
+	})
+}
+
+// Guards against decisions that the daemon that is asked can't find because another one made them, and against metrics
+// that don't move.
+func TestExplainAndMetricsOfARequest(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{HostsPerZone: 1})
+	entry, other := f.Host("zone-a-1"), f.Host("zone-b-1")
+	header := map[string]string{cicadacross.HeaderRequestID: "order-7"}
+	for path, expected := range map[string]string{"/": "done", "/confirm": "not-run"} {
+		answer, err := entry.Request(context.Background(), "POST", path, "", header)
+		assert.NilError(t, err)
+		assert.Equal(t, outcome(answer), expected, "%v", answer)
+	}
+	result := harness.RunCommand(t, "explain", "--operator="+other.OperatorAddress(), "order-7")
+	assert.Equal(t, result.Code, command.ExitGood, "%v", result)
+	for _, part := range []string{
+		"zone-a-1 (zone-a): pick (side=ingress, target=zone-", "answer (status=200", "answer (side=ingress",
+		"zone-a-1 (zone-a): refuse, because key", "status=428",
+	} {
+		assert.Assert(t, is.Contains(result.Out, part))
+	}
+	result = harness.RunCommand(t, "explain", "--operator="+other.OperatorAddress(), "order-8")
+	assert.Equal(t, result.Code, command.ExitBad, "%v", result)
+
+	figures := metricsOf(t, entry)
+	assert.Equal(t, figures["requests.done"].Count, 1)
+	assert.Equal(t, figures["requests.not_run"].Count, 1)
+	assert.Equal(t, figures["admission.slots"].Value, 4)
+	for _, name := range []string{"fleet.control.sent_bytes", "fleet.control.received_bytes", "fleet.source.calls"} {
+		assert.Assert(t, figures[name].Count > 0, name)
+	}
+	for _, name := range []string{"admission.in_progress", "admission.queued", "requests.in_progress"} {
+		assert.Assert(t, is.Contains(figures, name))
+	}
+}
+
+// figure is one metric: a counter or a gauge.
+type figure struct {
+	Count int `json:"count"`
+	Value int `json:"value"`
+}
+
+func metricsOf(t *testing.T, h *harness.Host) map[string]figure {
+	t.Helper()
+	response, err := http.Get("http://" + h.OperatorAddress() + "/v1/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	var figures map[string]figure
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&figures))
+	return figures
+}
+
+// Guards against a daemon that outgrows small hosts. The stated bound is 64 MB at its peak, with no configuration and
+// with the smallest one.
+func TestDaemonWithEmptyConfigurationIsSmall(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 1, Unpublished: true})
+	const bound = 64 << 10 // in KB
+	h := f.Hosts("")[0]
+	time.Sleep(observation)
+	empty := peakMemory(t, h.Daemon)
+	f.Publish(1, "")
+	harness.Eventually(t, recovery, "version 1", func() bool { return f.AllAt(1) })
+	time.Sleep(observation)
+	smallest := peakMemory(t, h.Daemon)
+	t.Logf("peak resident memory: %d KB with no configuration, %d KB with one target", empty, smallest)
+	assert.Assert(t, empty < bound && smallest < bound, "%d KB, %d KB", empty, smallest)
+}
+
+// peakMemory returns the largest resident memory that the process had, in KB.
+func peakMemory(t *testing.T, p *harness.Process) int {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	assert.NilError(t, err)
+	_, rest, found := strings.Cut(string(data), "VmHWM:")
+	assert.Assert(t, found)
+	var size int
+	_, err = fmt.Sscanf(rest, "%d kB", &size)
+	assert.NilError(t, err)
+	return size
+}
+
+// Guards against binaries that were built without cgo. With cgo enabled, the net package's resolver alone links them to
+// the C library, so that no package is imported for that purpose.
+func TestBinariesAreLinkedToTheCLibrary(t *testing.T) {
+	t.Parallel()
+	for _, program := range []string{harness.Daemon, harness.Command} {
+		file, err := elf.Open(harness.Binary(t, program))
+		assert.NilError(t, err)
+		libraries, err := file.ImportedLibraries()
+		assert.NilError(t, err)
+		assert.NilError(t, file.Close())
+		assert.Assert(t, strings.Contains(strings.Join(libraries, " "), "libc."), "%s: %v", program, libraries)
+	}
+}
+
+// Guards against a daemon that starts with a bad setting, or that doesn't say which one it is. The unit tests go
+// through all settings.
+func TestBadSettingsStopTheDaemon(t *testing.T) {
+	t.Parallel()
+	good := []string{
+		"--host=h1", "--availability-zone=z1", "--listen-caller=127.0.0.1:1024", "--listen-peer=127.0.0.1:1025",
+		"--listen-operator=127.0.0.1:1026", "--platform=127.0.0.1:1027", "--upstream=127.0.0.1:1028",
+	}
+	key := "CICADACROSS_FLEET_KEY=" + harness.FleetKey
+	tests := []struct {
+		environment []string
+		arguments   []string
+		names       []string
+	}{
+		{nil, nil, []string{"--host", "--availability-zone", "--listen-caller", "--platform", "--fleet-key"}},
+		{nil, good, []string{"--fleet-key (CICADACROSS_FLEET_KEY): has 0 bytes"}},
+		{[]string{key, "CICADACROSS_SEEDS=nowhere"}, good, []string{`(CICADACROSS_SEEDS): "nowhere" is not IP:port`}},
+		{[]string{key}, append(good, "--max-queue=many"), []string{"max-queue"}},
+		{[]string{key}, append(good, "--quota=5"), []string{"quota"}},
+		{[]string{key}, append(good, "--listen-peer=192.0.2.1:1025"), []string{`192.0.2.1:1025`}},
+	}
+	for _, test := range tests {
+		p := harness.Start(t, "daemon", harness.Daemon, test.environment, test.arguments...)
+		ended, err := p.Wait(recovery)
+		assert.Assert(t, ended, "the daemon runs with %v", test.arguments)
+		var exit *exec.ExitError
+		assert.Assert(t, errors.As(err, &exit), "exit status 0 with %v", test.arguments)
+		output := strings.Join(p.Tail(100), "\n")
+		for _, name := range test.names {
+			assert.Assert(t, is.Contains(output, name))
+		}
+	}
+}
+
+// Guards against a library that ends a draining process by its own time limit (5.5 s) or logs in a form of its own.
+func TestShutdownOutlastsTheLimitOfTheLibrary(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{
+		Zones: 1, HostsPerZone: 1, UpstreamFlags: []string{"--service-time=8s"},
+	})
+	h := f.Hosts("")[0]
+	var group sync.WaitGroup
+	group.Go(func() {
+		answer, err := h.Request(context.Background(), "PUT", "/upload", "photo", nil)
+		assert.Check(t, err)
+		assert.Check(t, is.Equal(outcome(answer), "done"), "%v", answer)
+	})
+	harness.Eventually(t, startOfRun, "the upload runs", func() bool { return f.Runs() == 1 })
+	terminated := time.Now()
+	h.Daemon.Terminate()
+	group.Wait()
+	const libraryLimit = 5500 * time.Millisecond
+	assert.Assert(t, time.Since(terminated) > libraryLimit, "the upload was too short for this test")
+	ended, err := h.Daemon.Wait(recovery)
+	assert.Assert(t, ended)
+	assert.NilError(t, err)
+	for _, line := range h.Daemon.Tail(1000) {
+		assert.Assert(t, strings.HasPrefix(line, "time="), "%q is not in the form of the log", line)
+	}
+}
+
+// Guards against a demo that fails, takes too long, or reports success when a step failed.
+func TestDemo(t *testing.T) {
+	t.Parallel()
+	const limit = time.Minute
+	start := time.Now()
+	result := harness.RunCommand(t, "demo")
+	assert.Equal(t, result.Code, command.ExitGood, "%v", result)
+	assert.Assert(t, time.Since(start) < limit, time.Since(start).String())
+	for _, part := range []string{
+		"It was in force on all 4 daemons ", `outcome "done"`, "The upstreams counted 1 run.",
+		"none went to the upstream on north-2", "The daemon on south-2 is gone", "All steps succeeded.",
+	} {
+		assert.Assert(t, is.Contains(result.Out, part))
+	}
+	result = harness.RunCommand(t, "demo", "--limit=1ms")
+	assert.Equal(t, result.Code, command.ExitBad, "%v", result)
+	assert.Assert(t, is.Contains(result.Err, "step 1 failed"))
+}
