--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -275,6 +275,7 @@
 	ended, err := h.Daemon.Wait(recovery)
 	assert.Assert(t, ended)
 	assert.NilError(t, err)
+	assert.Assert(t, h.Daemon.Logged("level=INFO", "logger=go-zero"), "the log of the library is not captured")
 	for _, line := range h.Daemon.Tail(1000) {
 		assert.Assert(t, strings.HasPrefix(line, "time="), "%q is not in the form of the log", line)
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -20,7 +20,8 @@
 	operatorHeaderLimit = 5 * time.Second
 	// operatorIdleLimit bounds the memory that connections of operators hold after their use.
 	operatorIdleLimit = time.Minute
-	// neverForceQuit replaces the 5.5 s after which go-zero would end a process that is still draining.
+	// neverForceQuit replaces the 5.5 s after which go-zero sends SIGTERM to its own process once more. That ends a
+	// process that is still draining, unless it still catches the signal.
 	neverForceQuit = 365 * 24 * time.Hour
 )
 
