--- a/integration/measure/distribution/trial.go
+++ b/integration/measure/distribution/trial.go
@@ -87,9 +87,11 @@
 		return result{}, fmt.Errorf("%d of %d daemons have no configuration after %s", late, t.daemons, startTimeout)
 	}
 	log.Info("started", "daemons", t.daemons, "bytes", size)
-	<-clock.After(t.warm).C()
+	if !sleep(ctx, t.warm) {
+		return result{}, ctx.Err()
+	}
 	out := result{trial: t, registerBytes: size}
-	if err := r.measureRest(&out); err != nil {
+	if err := r.measureRest(ctx, &out); err != nil {
 		return out, err
 	}
 	return out, r.measureChanges(ctx, &out)
@@ -123,6 +125,18 @@
 	}
 }
 
+// sleep waits for d and reports whether ctx is still open.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := clock.After(d)
+	defer t.Stop()
+	select {
+	case <-t.C():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // publish publishes the next version, which differs from the last in one line, and returns the size of its parts.
 func (r *fleetRun) publish() (int, error) {
 	r.number++
@@ -190,12 +204,14 @@
 	return s, nil
 }
 
-func (r *fleetRun) measureRest(out *result) error {
+func (r *fleetRun) measureRest(ctx context.Context, out *result) error {
 	before, err := r.sums()
 	if err != nil {
 		return err
 	}
-	<-clock.After(r.trial.rest).C()
+	if !sleep(ctx, r.trial.rest) {
+		return ctx.Err()
+	}
 	after, err := r.sums()
 	if err != nil {
 		return err
@@ -232,7 +248,9 @@
 				return err
 			}
 		}
-		<-clock.After(changeTail).C()
+		if !sleep(ctx, changeTail) {
+			return ctx.Err()
+		}
 	}
 	after, err := r.sums()
 	if err != nil {
--- a/internal/fleet/apply.go
+++ b/internal/fleet/apply.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
 	"cicadacross"
@@ -75,7 +76,11 @@
 	if w := f.fetches.wants[d.task.version]; w != nil {
 		f.meter.fetchFailures.Inc(1)
 		f.log.Info("fetch failed", "version", w.version.String(), "from", d.task.from.name(), "reason", d.err.Error())
-		w.failed(now, d.err.Error())
+		budget := time.Duration(0)
+		if d.task.from.name() == sourceName {
+			budget = f.budget.delay(now)
+		}
+		w.failed(now, d.err.Error(), budget)
 	}
 }
 
@@ -101,7 +106,7 @@
 	if f.opts.OnApply != nil {
 		f.opts.OnApply(previous, d.configuration)
 	}
-	f.values.Store(f.values.Load().next(d.version, d.names, d.values))
+	f.values.Store(f.values.Load().next(d.version, d.names, d.values, d.received))
 	f.current.Store(d.configuration)
 	f.fetches.partial, f.fetches.partialSize = make(map[string][]byte), 0
 	f.history = append(f.history, AppliedVersion{Version: d.version, At: now, From: from})
@@ -114,6 +119,7 @@
 	f.meter.applies.Inc(1)
 	f.log.Info("configuration applied", "version", d.version.String(), "from", from)
 	f.members.reconcile(d.configuration)
+	f.compareSettings(d.configuration)
 	f.readers.stale = true
 	if previous == nil {
 		// So far only the seeds and the hosts that they named were known, by all daemons that started at this time.
@@ -125,6 +131,24 @@
 	f.coldApplied(now, d.task.from)
 }
 
+// compareSettings notices a host whose settings and register entry differ, which other daemons can't reach.
+func (f *Fleet) compareSettings(c *cicadacross.Configuration) {
+	mismatch := ""
+	switch target, registered := c.TargetOn(f.opts.Host); {
+	case !registered:
+		mismatch = fmt.Sprintf("the register doesn't name the host %s", f.opts.Host)
+	case target.Peer() != f.opts.Peer:
+		mismatch = fmt.Sprintf("the register has the peer address %s, the setting is %s", target.Peer(), f.opts.Peer)
+	case target.AvailabilityZone() != f.opts.AvailabilityZone:
+		mismatch = fmt.Sprintf("the register has the availability zone %s, the setting is %s",
+			target.AvailabilityZone(), f.opts.AvailabilityZone)
+	}
+	if mismatch != "" && mismatch != f.mismatch {
+		f.log.Info("settings differ from the register", "reason", mismatch)
+	}
+	f.mismatch = mismatch
+}
+
 // refuse remembers a version that must not be applied.
 func (f *Fleet) refuse(now time.Time, version cicadacross.Version, from, reason string) {
 	delete(f.fetches.wants, version)
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -126,8 +126,9 @@
 func (f *Fleet) nextPartner(now time.Time) (picked *member, ask bool) {
 	r := &f.readers
 	r.askReader = !r.askReader
-	if r.askReader && r.place >= readersPerZone && r.place < readersPerZone+successorPlaces {
-		if host := r.bestReader(now); host != "" {
+	successor := r.place >= readersPerZone && (r.active || r.place < readersPerZone+successorPlaces)
+	if r.askReader && successor && f.opts.Readers == ReadersElected {
+		if host := r.readerToAsk(now, f.opts.Host); host != "" {
 			if m := f.members.get(host); m != nil && m.peer != "" {
 				return m, true
 			}
--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -135,14 +135,14 @@
 	return nil
 }
 
-// failed notes a failure and starts another round after a delay when every provider has been tried.
-func (w *want) failed(now time.Time, reason string) {
+// failed notes a failure. When every provider has been tried, it starts another round after a delay of at least budget.
+func (w *want) failed(now time.Time, reason string, budget time.Duration) {
 	w.reason = reason
 	if w.next(now) != nil {
 		return
 	}
 	clear(w.tried)
-	w.retryAt = now.Add(backoff(w.failures))
+	w.retryAt = now.Add(max(backoff(w.failures), budget))
 	w.failures++
 }
 
@@ -166,6 +166,14 @@
 	names         map[string]string
 	values        map[string][]byte
 	parts         map[string][]byte
+	received      map[compressedKey][]byte
+}
+
+// add keeps the compressed form in which a value came in.
+func (d *fetchDone) add(v receivedValue) {
+	if v.packed != nil {
+		d.received[compressedKey{digest: v.digest, dictionary: v.dictionary}] = v.packed
+	}
 }
 
 func (f *Fleet) newFetchTask(version cicadacross.Version, from provider) *fetchTask {
@@ -179,15 +187,17 @@
 
 func (t *fetchTask) perform(context.Context) message {
 	defer t.cancel()
-	done := fetchDone{task: t, version: t.version, parts: make(map[string][]byte)}
-	data, err := t.from.manifest(t.ctx, t.version, t.local)
+	done := fetchDone{
+		task: t, version: t.version, parts: make(map[string][]byte), received: make(map[compressedKey][]byte),
+	}
+	value, err := t.from.manifest(t.ctx, t.version, t.local)
 	if err != nil {
 		done.err = err
 		return done
 	}
-	manifest, err := register.DecodeManifest(data)
+	manifest, err := register.DecodeManifest(value.data)
 	switch {
-	case err != nil && register.Digest(data) == t.version.Digest():
+	case err != nil && register.Digest(value.data) == t.version.Digest():
 		done.err = wrapError("fetch", KindRefused, err, "manifest")
 		return done
 	case err != nil:
@@ -198,7 +208,10 @@
 		return done
 	}
 	done.version = manifest.Version()
-	done.err = t.fetchParts(manifest, done.parts)
+	if value.digest == done.version.Digest() {
+		done.add(value)
+	}
+	done.err = t.fetchParts(manifest, &done)
 	if done.err == nil {
 		t.assemble(manifest, &done)
 	}
@@ -214,8 +227,8 @@
 	return data, ok
 }
 
-// fetchParts adds the parts that are not at hand to got.
-func (t *fetchTask) fetchParts(manifest register.Manifest, got map[string][]byte) error {
+// fetchParts adds the parts that are not at hand to the result.
+func (t *fetchTask) fetchParts(manifest register.Manifest, done *fetchDone) error {
 	missing := make(map[string]wantedPart)
 	var list []wantedPart
 	for _, part := range manifest.Parts() {
@@ -233,14 +246,15 @@
 		return nil
 	}
 	damaged := 0
-	err := t.from.parts(t.ctx, list, t.local, func(digest string, data []byte) {
-		wanted, ok := missing[digest]
-		if !ok || !checkPart(wanted, data) {
+	err := t.from.parts(t.ctx, list, t.local, func(v receivedValue) {
+		wanted, ok := missing[v.digest]
+		if !ok || !checkPart(wanted, v.data) {
 			damaged++
 			return
 		}
-		delete(missing, digest)
-		got[digest] = data
+		delete(missing, v.digest)
+		done.parts[v.digest] = v.data
+		done.add(v)
 		t.fleet.meter.partsFetched.Inc(1)
 	})
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,7 @@
 	refusals    refusalList
 	conflict    *Conflict
 	history     []AppliedVersion
+	mismatch    string
 	cold        coldStart
 	pause       pauseState
 	incarnation uint64
--- a/internal/fleet/provider.go
+++ b/internal/fleet/provider.go
@@ -30,10 +30,19 @@
 type provider interface {
 	// name identifies the provider in logs and among the providers of a version.
 	name() string
-	// manifest returns the bytes of the manifest of the version or of a newer one.
-	manifest(ctx context.Context, version cicadacross.Version, local *valueSet) ([]byte, error)
+	// manifest returns the manifest of the version or of a newer one.
+	manifest(ctx context.Context, version cicadacross.Version, local *valueSet) (receivedValue, error)
 	// parts calls got with each part as it comes in. The content is not checked yet.
-	parts(ctx context.Context, wanted []wantedPart, local *valueSet, got func(digest string, data []byte)) error
+	parts(ctx context.Context, wanted []wantedPart, local *valueSet, got func(receivedValue)) error
+}
+
+// receivedValue is a value as a provider gave it.
+type receivedValue struct {
+	digest string
+	data   []byte
+	// packed is the compressed form with the dictionary, or nil when the provider gave the value as it is.
+	packed     []byte
+	dictionary string
 }
 
 // peerProvider fetches from another daemon.
@@ -45,21 +54,23 @@
 
 func (p peerProvider) name() string { return p.host }
 
-func (p peerProvider) manifest(ctx context.Context, version cicadacross.Version, local *valueSet) ([]byte, error) {
+func (p peerProvider) manifest(
+	ctx context.Context, version cicadacross.Version, local *valueSet,
+) (receivedValue, error) {
 	request := &peerpb.FetchRequest{Version: encodeVersion(version)}
 	if !local.version.IsZero() {
 		request.Dictionaries = [][]byte{encodeDigest(local.version.Digest())}
 	}
-	var manifest []byte
-	err := p.fetch(ctx, request, local, func(_ string, data []byte) { manifest = data })
-	if err == nil && manifest == nil {
+	var manifest receivedValue
+	err := p.fetch(ctx, request, local, func(v receivedValue) { manifest = v })
+	if err == nil && manifest.data == nil {
 		err = newError("fetch manifest", KindUnavailable, "peer %s sent none", p.address)
 	}
 	return manifest, err
 }
 
 func (p peerProvider) parts(
-	ctx context.Context, wanted []wantedPart, local *valueSet, got func(digest string, data []byte),
+	ctx context.Context, wanted []wantedPart, local *valueSet, got func(receivedValue),
 ) error {
 	request := &peerpb.FetchRequest{}
 	for _, part := range wanted {
@@ -71,7 +82,7 @@
 
 // fetch makes one call and cancels it when no value comes for a while.
 func (p peerProvider) fetch(
-	ctx context.Context, request *peerpb.FetchRequest, local *valueSet, got func(digest string, data []byte),
+	ctx context.Context, request *peerpb.FetchRequest, local *valueSet, got func(receivedValue),
 ) error {
 	const op = "fetch"
 	ctx, cancel := context.WithCancel(ctx)
@@ -99,7 +110,10 @@
 		if err != nil {
 			return err
 		}
-		got(hex.EncodeToString(reply.GetDigest()), data)
+		got(receivedValue{
+			digest: hex.EncodeToString(reply.GetDigest()), data: data,
+			packed: reply.GetData(), dictionary: hex.EncodeToString(reply.GetDictionary()),
+		})
 	}
 	if errors.Is(err, io.EOF) {
 		return nil
@@ -121,12 +135,12 @@
 
 func (p sourceProvider) name() string { return sourceName }
 
-func (p sourceProvider) manifest(context.Context, cicadacross.Version, *valueSet) ([]byte, error) {
-	return p.data, nil
+func (p sourceProvider) manifest(context.Context, cicadacross.Version, *valueSet) (receivedValue, error) {
+	return receivedValue{data: p.data}, nil
 }
 
 func (p sourceProvider) parts(
-	ctx context.Context, wanted []wantedPart, _ *valueSet, got func(digest string, data []byte),
+	ctx context.Context, wanted []wantedPart, _ *valueSet, got func(receivedValue),
 ) error {
 	for _, part := range wanted {
 		p.fleet.meter.sourceCalls.Inc(1)
@@ -134,7 +148,7 @@
 		if err != nil {
 			return wrapError("fetch", KindUnavailable, err, "part %s", part.digest)
 		}
-		got(part.digest, value.Data())
+		got(receivedValue{digest: part.digest, data: value.Data()})
 	}
 	return nil
 }
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cicadacross/internal/peerpb"
+	"cicadacross/internal/platform"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// maxTrying bounds the hosts of an availability zone that try a source that doesn't answer. Without it each host of
 	// the fleet would take over in turn during an outage of the platform.
 	maxTrying = 4
+	// tryingAge is how long the word that a host reads counts. Hosts far behind in the order hear it late.
+	tryingAge = 20 * time.Second
 	// readerForget drops what is known of a reader that isn't heard of.
 	readerForget = time.Minute
 	// maxFacts bounds the readers that are remembered.
@@ -133,7 +136,7 @@
 		confirmedAny = latest(confirmedAny, fact.confirmed)
 		if r.placeOf(host) < r.place {
 			confirmedBefore = latest(confirmedBefore, fact.confirmed)
-			if now.Sub(fact.alive) < takeoverAge {
+			if now.Sub(fact.alive) < tryingAge {
 				trying++
 			}
 		}
@@ -181,6 +184,7 @@
 	}
 	r.watches = nil
 	r.active = false
+	f.hostList = platform.HostList{}
 	r.jitter = time.Duration(rand.Int64N(int64(takeoverStep)))
 	delete(r.facts, f.opts.Host)
 }
@@ -201,23 +205,31 @@
 	r.facts[f.opts.Host] = fact
 }
 
-// bestReader returns the reader to ask for a confirmation: the known one that comes first in the order, and otherwise
-// the host that should read. It is "" when there is neither.
-func (r *readership) bestReader(now time.Time) string {
-	best, bestPlace := "", len(r.order)
+// readerToAsk returns the reader that tells most: for a host that doesn't read, the one last heard of; for one that
+// took over, the first in the order, since its return ends the takeover. It is "" when there is none.
+func (r *readership) readerToAsk(now time.Time, self string) string {
+	best := ""
 	for host, fact := range r.facts {
-		if place := r.placeOf(host); place < bestPlace && now.Sub(fact.alive) < readerForget {
-			best, bestPlace = host, place
+		if host == self || now.Sub(fact.alive) > tryingAge {
+			continue
+		}
+		better := fact.alive.After(r.facts[best].alive)
+		if r.active {
+			better = r.placeOf(host) < r.placeOf(best)
+		}
+		if best == "" || better {
+			best = host
 		}
 	}
-	if best == "" {
-		for host, place := range r.order {
-			if place == 0 {
-				return host
-			}
+	if best != "" {
+		return best
+	}
+	for host, place := range r.order {
+		if place == 0 && host != self {
+			return host
 		}
 	}
-	return best
+	return ""
 }
 
 // readerRecords returns the facts for a peer of the same availability zone.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -53,6 +53,8 @@
 	SourceAge   time.Duration
 	// SourceError is the last failure of this daemon's own reading of the source, or empty.
 	SourceError string
+	// Mismatch says in what the settings of this daemon differ from the register, or is empty.
+	Mismatch    string
 	Reader      bool
 	ReaderPlace int
 	Ready       bool
@@ -172,6 +174,7 @@
 		SourceHeard:      !f.readers.sourceHeard.IsZero(),
 		SourceAge:        ageOf(now, f.readers.sourceHeard),
 		SourceError:      f.readers.lastError,
+		Mismatch:         f.mismatch,
 		Reader:           f.readers.active,
 		ReaderPlace:      f.readers.place,
 		Ready:            f.Ready(),
--- a/internal/fleet/values.go
+++ b/internal/fleet/values.go
@@ -1,20 +1,16 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/hex"
-	"io"
 	"sync"
 
-	"github.com/klauspost/compress/flate"
-
 	"cicadacross"
 	"cicadacross/internal/peerpb"
 )
 
 const (
-	// maxCompressed bounds the compressed forms that are kept for one generation of values.
-	maxCompressed = 1024
+	// maxCompressed bounds the compressed forms that are kept for one generation of values, in bytes.
+	maxCompressed = 4 << 20
 	// maxTotalSize bounds the parts of one version, so that a bad manifest can't exhaust the memory.
 	maxTotalSize = 32 << 20
 )
@@ -28,24 +24,41 @@
 	values   map[string][]byte
 	previous map[string][]byte
 
-	mu         sync.Mutex
-	compressed map[compressedKey][]byte
+	mu             sync.Mutex
+	compressed     map[compressedKey][]byte
+	compressedSize int
 }
 
+// compressedKey names one compressed form: the digests of the value and of its dictionary, which may be empty.
 type compressedKey struct{ digest, dictionary string }
 
-// next returns the set after a version is applied; values must hold the manifest and all parts.
-func (s *valueSet) next(version cicadacross.Version, names map[string]string, values map[string][]byte) *valueSet {
+// next returns the set after a version is applied; values must hold the manifest and all parts, and received the
+// compressed forms in which some of them came in. Those are passed on, so that only the readers of the source compress.
+func (s *valueSet) next(
+	version cicadacross.Version, names map[string]string, values map[string][]byte, received map[compressedKey][]byte,
+) *valueSet {
 	previous := make(map[string][]byte)
 	for digest, data := range s.values {
 		if _, kept := values[digest]; !kept {
 			previous[digest] = data
 		}
 	}
-	return &valueSet{
+	set := &valueSet{
 		version: version, names: names, values: values, previous: previous,
 		compressed: make(map[compressedKey][]byte),
 	}
+	for key, packed := range received {
+		set.keep(key, packed)
+	}
+	return set
+}
+
+// keep remembers a compressed form while there is room. The lock is held, or the set is not shared yet.
+func (s *valueSet) keep(key compressedKey, packed []byte) {
+	if s.compressedSize+len(packed) <= maxCompressed {
+		s.compressed[key] = packed
+		s.compressedSize += len(packed)
+	}
 }
 
 // get returns a value of either generation.
@@ -76,34 +89,7 @@
 	packed, done := s.compressed[key]
 	if !done {
 		packed = compress(data, base)
-		if len(s.compressed) < maxCompressed {
-			s.compressed[key] = packed
-		}
+		s.keep(key, packed)
 	}
 	return &peerpb.FetchReply{Digest: digest, Data: packed, Dictionary: dictionary}
 }
-
-func compress(data, dictionary []byte) []byte {
-	var packed bytes.Buffer
-	w, err := flate.NewWriterDict(&packed, flate.BestCompression, dictionary)
-	if err != nil {
-		// The level is a constant that the library accepts.
-		panic(err)
-	}
-	_, _ = w.Write(data)
-	_ = w.Close()
-	return packed.Bytes()
-}
-
-// decompress returns the value, or an error when it is damaged or too large.
-func decompress(packed, dictionary []byte) ([]byte, error) {
-	r := flate.NewReaderDict(bytes.NewReader(packed), dictionary)
-	data, err := io.ReadAll(io.LimitReader(r, cicadacross.MaxValueSize+1))
-	if err != nil {
-		return nil, wrapError("decompress", KindInvalid, err, "damaged value")
-	}
-	if len(data) > cicadacross.MaxValueSize {
-		return nil, newError("decompress", KindInvalid, "the value is over %d bytes", cicadacross.MaxValueSize)
-	}
-	return data, nil
-}
