--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,7 @@
 	refusals    refusalList
 	conflict    *Conflict
 	history     []AppliedVersion
+	mismatch    string
 	cold        coldStart
 	pause       pauseState
 	incarnation uint64
@@ -72,6 +73,7 @@
 	suspectsAt      time.Time
 	hostList        platform.HostList
 	exchangeAt      time.Time
+	followUpAt      time.Time // when to announce the applied version again; zero when done
 	budget          *sourceBudget
 }
 
@@ -166,6 +168,7 @@
 	f.tickPartners(now)
 	f.tickReaders(now)
 	f.tickExchange(now)
+	f.tickSpread(now)
 	f.tickFetch(now)
 }
 
