upstream: write and read calls in the goroutine of the request

The two goroutines that net/http keeps for each connection were among the largest costs that a profile showed and this project can change. Messages are still written and read by net/http.

--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -272,6 +272,7 @@
 	}
 	if !body.empty() {
 		call.Body, call.ContentLength, call.AbortBody = body, r.head.GetContentLength(), body.abort
+		call.Ready = r.head.GetComplete()
 	}
 	return call
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -21,9 +22,11 @@
 // Connection is one connection to the upstream, reserved for one call. Exactly one of Do and Release must be called.
 type Connection struct {
 	upstream *Upstream
-	client   *http.ClientConn
 	wire     *wire
+	reader   *bufio.Reader
+	writer   *bufio.Writer
 	lastUsed time.Time
+	broken   bool // a write failed, or the upstream wants no further call
 }
 
 // Call is one request to the upstream.
@@ -37,7 +40,9 @@
 	Body io.Reader
 	// ContentLength is -1 when the length of Body is unknown.
 	ContentLength int64
-	// AbortBody, when set, unblocks a Read of Body; it is called when the connection closes.
+	// Ready says that Body is in memory, so that it is written before the answer is awaited.
+	Ready bool
+	// AbortBody must be set unless Body is ready. It unblocks a Read of Body and is called when the connection closes.
 	AbortBody func()
 }
 
@@ -92,26 +97,19 @@
 		return nil, err
 	}
 	u.crash.accepted()
-	if err := c.client.Reserve(); err != nil {
-		c.shut()
-		return nil, wrapError("connect", KindConnect, err, "the new connection closed at once")
-	}
 	return c, nil
 }
 
-// usable reserves an idle connection unless it is closed or has unexpected bytes.
-func (c *Connection) usable() bool {
-	return c.client.Err() == nil && c.wire.quiet() && c.client.Reserve() == nil
-}
+// usable reports whether an idle connection is open and has no unexpected bytes.
+func (c *Connection) usable() bool { return c.reader.Buffered() == 0 && c.wire.quiet() }
 
 // Release gives the connection back without a call.
 func (c *Connection) Release() {
-	c.client.Release()
 	c.upstream.pool.put(c)
 	c.upstream.pool.leave()
 }
 
-func (c *Connection) shut() { _ = c.client.Close() }
+func (c *Connection) shut() { _ = c.wire.Close() }
 
 // Do sends the call once and returns the head of the answer. Use Begun to learn from the error whether the upstream
 // may have begun the call. The ctx holds until the body of the answer is read.
@@ -126,27 +124,22 @@
 	if call.AbortBody != nil {
 		c.wire.onClose.Store(&call.AbortBody)
 	}
-	response, err := c.client.RoundTrip(request)
-	if err != nil {
+	x.stop = context.AfterFunc(ctx, c.shut)
+	if err := x.roundTrip(request, call.Ready); err != nil {
 		return nil, x.fail("call", err)
 	}
-	c.upstream.observeReply(response.Header)
-	if err := checkReply(call.Method, response); err != nil {
-		_ = response.Body.Close()
+	c.upstream.observeReply(x.response.Header)
+	if err := checkReply(call.Method, x.response); err != nil {
 		x.drop()
 		return nil, err
 	}
-	x.source = response.Body
-	reply := &Reply{
-		Status:        response.StatusCode,
-		Header:        response.Header,
-		ContentLength: response.ContentLength,
+	x.reply = &Reply{
+		Status:        x.response.StatusCode,
+		Header:        x.response.Header,
+		ContentLength: x.response.ContentLength,
 		Body:          x,
-		Trailer:       response.Trailer,
 	}
-	x.response = response
-	x.reply = reply
-	return reply, nil
+	return x.reply, nil
 }
 
 func newRequest(ctx context.Context, call Call, address string) (*http.Request, *requestBody, error) {
--- a/internal/upstream/crash.go
+++ b/internal/upstream/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"syscall"
@@ -61,12 +60,9 @@
 	if err != nil {
 		return false
 	}
-	response, err := c.client.RoundTrip(request)
-	if err != nil {
+	if _, _, err := c.ask(ctx, request); err != nil {
 		return ctx.Err() == nil && c.wire.read.Load() == 0
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bufferSize))
-	_ = response.Body.Close()
 	return false
 }
 
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -78,31 +78,46 @@
 		c.shut()
 		return false
 	}
-	response, err := c.client.RoundTrip(request)
+	status, header, err := c.ask(limited, request)
 	if err != nil {
 		c.shut()
 		return false
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, bufferSize))
-	_ = response.Body.Close()
-	u.observeHealth(response)
-	if err != nil || c.client.Available() == 0 {
+	u.observeHealth(status, header)
+	if c.broken || c.reader.Buffered() > 0 {
 		c.shut()
-		return err == nil
+		return true
 	}
 	c.lastUsed = u.opts.Timers.Now()
 	u.pool.put(c)
 	return true
 }
 
-func (u *Upstream) observeHealth(response *http.Response) {
-	u.unhealthy.Store(response.StatusCode >= http.StatusInternalServerError)
-	asked := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+// ask sends a request without a body and reads the whole answer, which must be short.
+func (c *Connection) ask(ctx context.Context, request *http.Request) (int, http.Header, error) {
+	stop := context.AfterFunc(ctx, c.shut)
+	defer stop()
+	if err := c.write(request); err != nil {
+		return 0, nil, err
+	}
+	var response *http.Response
+	if err := c.receive(request, &response); err != nil {
+		return 0, nil, err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, bufferSize))
+	_ = response.Body.Close()
+	c.broken = c.broken || n == bufferSize
+	return response.StatusCode, response.Header, err
+}
+
+func (u *Upstream) observeHealth(status int, header http.Header) {
+	u.unhealthy.Store(status >= http.StatusInternalServerError)
+	asked := status == http.StatusServiceUnavailable && header.Get("Retry-After") != ""
 	if u.drainingByHealth.Swap(asked) != asked {
 		u.opts.Logger.Info("upstream drains", "signal", "health", "draining", asked, "upstream", u.opts.Address)
 	}
-	u.observeReply(response.Header)
-	if response.Header.Get(cicadacross.HeaderDraining) == "false" {
+	u.observeReply(header)
+	if header.Get(cicadacross.HeaderDraining) == "false" {
 		u.drainingByReply.Store(false)
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,8 +1,8 @@
 // Package upstream calls the upstream on the host of the daemon over HTTP/1.1.
 //
-// Each call uses one connection and is written at most once: the package holds its own connection pool on top of
-// http.ClientConn, because http.Transport repeats calls that it takes for idempotent when a kept-alive connection
-// breaks.
+// Each call uses one connection and is written at most once. The package reads and writes messages with net/http and
+// holds its own connection pool: http.Transport repeats calls that it takes for idempotent when a kept-alive connection
+// breaks, and passes each call through two more goroutines.
 package upstream
 
 import (
@@ -59,10 +59,9 @@
 
 // Upstream is the transport to one upstream. It is safe for concurrent use.
 type Upstream struct {
-	opts      Options
-	transport *http.Transport
-	pool      pool
-	crash     crashDetector
+	opts  Options
+	pool  pool
+	crash crashDetector
 
 	drainingByReply  atomic.Bool
 	drainingByHealth atomic.Bool
@@ -87,7 +86,6 @@
 		opts.Logger = logr.Discard()
 	}
 	u := &Upstream{opts: opts}
-	u.transport = newTransport()
 	u.pool.limit = opts.Connections
 	u.crash.upstream = u
 	return u
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -1,9 +1,9 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"syscall"
 )
@@ -14,11 +14,18 @@
 	written atomic.Int64
 	read    atomic.Int64
 	onClose atomic.Pointer[func()]
+	// headLeft is how many bytes may still be read while the head of an answer is awaited; only the reader uses it.
+	headLeft int
+	inHead   bool
 }
 
 func (w *wire) Read(p []byte) (int, error) {
+	if w.inHead && w.headLeft <= 0 {
+		return 0, newError("read", KindBadReply, "the header of the answer is too large")
+	}
 	n, err := w.Conn.Read(p)
 	w.read.Add(int64(n))
+	w.headLeft -= n
 	return n, err
 }
 
@@ -36,8 +43,7 @@
 	return w.Conn.Close()
 }
 
-// quiet reports whether an idle connection is open and has no unread byte. It asks the kernel without taking the read
-// lock, which the read loop of net/http holds.
+// quiet reports whether an idle connection is open and has no unread byte. It asks the kernel without waiting.
 func (w *wire) quiet() bool {
 	conn, ok := w.Conn.(syscall.Conn)
 	if !ok {
@@ -55,21 +61,6 @@
 	return err == nil && peekErr == syscall.EAGAIN
 }
 
-type wireKey struct{}
-
-// newTransport returns a transport that only serves to wrap connections that this package dialed.
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return ctx.Value(wireKey{}).(*wire), nil
-		},
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxReplyHeader,
-		ReadBufferSize:         bufferSize,
-		WriteBufferSize:        bufferSize,
-	}
-}
-
 func (u *Upstream) dial(ctx context.Context) (*Connection, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", u.opts.Address)
@@ -77,10 +68,8 @@
 		return nil, wrapError("connect", KindConnect, err, "no new connection to the upstream")
 	}
 	w := &wire{Conn: conn}
-	client, err := u.transport.NewClientConn(context.WithValue(ctx, wireKey{}, w), "http", u.opts.Address)
-	if err != nil {
-		_ = w.Close()
-		return nil, wrapError("connect", KindConnect, err, "no new connection to the upstream")
-	}
-	return &Connection{upstream: u, client: client, wire: w, lastUsed: u.opts.Timers.Now()}, nil
+	return &Connection{
+		upstream: u, wire: w, lastUsed: u.opts.Timers.Now(),
+		reader: bufio.NewReaderSize(w, bufferSize), writer: bufio.NewWriterSize(w, bufferSize),
+	}, nil
 }
