ingress: attempts that cost a target nothing don't use up the retry budget

Cause: a request that met dead or leaving hosts first was refused as not run although other targets could serve it: each unreachable host cost one of three attempts and a retry of the budget. Ruled out: the choice of target, which avoids a host for 2 s after the first failure, and the deadline.

--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -61,7 +61,8 @@
 type Process struct {
 	name    string
 	command *exec.Cmd
-	done    chan struct{}
+	read    chan struct{} // closed when all output has been read
+	done    chan struct{} // closed when the process has ended and all output has been read
 	mu      sync.Mutex
 	lines   []string
 	exit    error
@@ -73,7 +74,10 @@
 // Start starts the program. Its output is kept and printed when the test fails.
 func Start(t testing.TB, name, program string, environment []string, arguments ...string) *Process {
 	t.Helper()
-	p := &Process{name: name, command: exec.Command(Binary(t, program), arguments...), done: make(chan struct{})}
+	p := &Process{
+		name: name, command: exec.Command(Binary(t, program), arguments...),
+		read: make(chan struct{}), done: make(chan struct{}),
+	}
 	p.command.Env = append(os.Environ(), environment...)
 	reader, writer := io.Pipe()
 	p.command.Stdout = writer
@@ -97,10 +101,12 @@
 	p.exit = err
 	p.mu.Unlock()
 	_ = writer.Close()
+	<-p.read
 	close(p.done)
 }
 
 func (p *Process) loop(reader io.Reader) {
+	defer close(p.read)
 	scanner := bufio.NewScanner(reader)
 	const longestLine = 1 << 20
 	scanner.Buffer(nil, longestLine)
--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -360,3 +360,20 @@
 	assert.Equal(t, outcome(answer), "done", "%v", answer)
 	assert.Equal(t, f.Runs(), depth)
 }
+
+// Guards against repeatable requests that are refused, though other targets could serve them, because hosts that leave
+// or die use up the attempts or the retry budget.
+func TestLeavingAndDeadHostsCostNoRequests(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{Zones: 2, HostsPerZone: 5})
+	requestAll(t, f)
+	f.Host("zone-a-2").SetBehavior(map[string]any{"draining": true})
+	for _, name := range []string{"zone-a-3", "zone-a-4", "zone-a-5", "zone-b-5"} {
+		f.Host(name).Daemon.Kill()
+	}
+	for range 40 {
+		answer, err := f.Host("zone-a-1").Request(context.Background(), "GET", "/", "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, outcome(answer), "done", "%v", answer)
+	}
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -80,7 +80,7 @@
 	q.fingerprint = relay.Fingerprint(q.service.Name(), q.http.Method, q.path(), q.body.start)
 	var tried []string
 	var last *refused
-	for n := range maxAttempts {
+	for n := 0; n < maxAttempts; {
 		target, obstacle := s.next(q, tried)
 		if obstacle != nil && last == nil {
 			return obstacle, nil
@@ -88,7 +88,7 @@
 		if obstacle != nil {
 			return last, nil
 		}
-		if n > 0 && !s.budget.retry() {
+		if last != nil && !last.free() && !s.budget.retry() {
 			s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
 			return last, nil
 		}
@@ -96,6 +96,9 @@
 		head.Attempt = uint32(n) // #nosec G115
 		var err error
 		last, err = s.attempt(w, q, target, head)
+		if last == nil || !last.free() {
+			n++
+		}
 		if last == nil || err != nil || !s.retryable(q, last) {
 			return last, err
 		}
@@ -265,7 +268,7 @@
 		if ctx.Err() == nil {
 			s.evidence.observe(target.Host(), false)
 		}
-		fault := unavailable("unreachable", err.Error())
+		fault := unavailable(reasonUnreachable, err.Error())
 		fault.earlierUnknown = q.key != ""
 		return fault, nil
 	}
--- a/internal/ingress/refused.go
+++ b/internal/ingress/refused.go
@@ -10,6 +10,9 @@
 	"cicadacross/internal/relay"
 )
 
+// reasonUnreachable means that no connection to the owner could be used, so that it never saw the request.
+const reasonUnreachable = "unreachable"
+
 // refused is an answer that the daemon gives itself.
 type refused struct {
 	status     int
@@ -84,3 +87,9 @@
 	w.WriteHeader(f.status)
 	_, _ = w.Write([]byte(text))
 }
+
+// free reports whether the attempt cost its target no work. Such attempts count neither towards the most that are made
+// nor towards the retry budget: each ends at once, and a target that failed one isn't tried again.
+func (f *refused) free() bool {
+	return f.reason == reasonUnreachable || f.reason == relay.RefusalDraining
+}
