--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -258,6 +258,7 @@
 	t.Parallel()
 	f := harness.NewFleet(t, harness.Options{
 		Zones: 1, HostsPerZone: 1, UpstreamFlags: []string{"--service-time=8s"},
+		DaemonFlags: []string{"--log-level=debug"},
 	})
 	h := f.Hosts("")[0]
 	var group sync.WaitGroup
@@ -275,7 +276,7 @@
 	ended, err := h.Daemon.Wait(recovery)
 	assert.Assert(t, ended)
 	assert.NilError(t, err)
-	assert.Assert(t, h.Daemon.Logged("level=INFO", "logger=go-zero"), "the log of the library is not captured")
+	assert.Assert(t, h.Daemon.Logged("level=DEBUG", "logger=go-zero"), "the log of the library is not captured")
 	for _, line := range h.Daemon.Tail(1000) {
 		assert.Assert(t, strings.HasPrefix(line, "time="), "%q is not in the form of the log", line)
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -37,7 +37,7 @@
 		ServiceConf: service.ServiceConf{
 			Name:     "operator",
 			Mode:     service.TestMode, // no load shedding and no periodic reports
-			Log:      logx.LogConf{Mode: "console", Level: "info"},
+			Log:      logx.LogConf{Mode: "console", Level: "severe"},
 			Shutdown: proc.ShutdownConf{WaitTime: neverForceQuit},
 		},
 		// The zero value switches all middlewares off: an operator must get an answer under load.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -38,7 +38,8 @@
 	grpclog.SetLoggerV2(NewGRPCLogger(logger.WithName("grpc")))
 }
 
-// NewZeroWriter returns a log writer for go-zero.
+// NewZeroWriter returns a log writer for go-zero. All but panics and the like counts as detail, errors too: its HTTP
+// client logs each call, a failed one as an error, and what matters of these is an event in the daemon's own log.
 func NewZeroWriter(logger logr.Logger) logx.Writer { return zeroWriter{logger: logger} }
 
 type zeroWriter struct{ logger logr.Logger }
@@ -46,11 +47,9 @@
 func (w zeroWriter) Alert(v any)  { w.logger.Error(nil, text(v)) }
 func (w zeroWriter) Severe(v any) { w.logger.Error(nil, text(v)) }
 func (w zeroWriter) Stack(v any)  { w.logger.Error(nil, text(v)) }
-func (w zeroWriter) Error(v any, fields ...logx.LogField) {
-	w.logger.Error(nil, text(v), pairs(fields)...)
-}
-func (w zeroWriter) Info(v any, fields ...logx.LogField)  { w.logger.Info(text(v), pairs(fields)...) }
-func (w zeroWriter) Slow(v any, fields ...logx.LogField)  { w.logger.Info(text(v), pairs(fields)...) }
+func (w zeroWriter) Error(v any, fields ...logx.LogField) { w.detail(v, fields) }
+func (w zeroWriter) Info(v any, fields ...logx.LogField)  { w.detail(v, fields) }
+func (w zeroWriter) Slow(v any, fields ...logx.LogField)  { w.detail(v, fields) }
 func (w zeroWriter) Debug(v any, fields ...logx.LogField) { w.detail(v, fields) }
 func (w zeroWriter) Stat(v any, fields ...logx.LogField)  { w.detail(v, fields) }
 func (w zeroWriter) Close() error                         { return nil }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"strings"
 	"testing"
 
@@ -12,18 +13,26 @@
 	"cicadacross/internal/journal"
 )
 
-// Guards against library output that bypasses the log or breaks its key=value lines.
+// Guards against library output that bypasses the log, breaks its key=value lines, or floods it with one line for each
+// call of an HTTP client.
 func TestCaptureSendsLibraryOutputToTheLog(t *testing.T) {
 	var out bytes.Buffer
 	journal.Capture(journal.New(journal.Options{Writer: &out}))
 	// A rest server does this when it is built.
 	assert.NilError(t, logx.SetUp(logx.LogConf{Mode: "console", Level: "severe"}))
 	logx.Infow("served", logx.Field("status", 200))
+	logx.Errorw("not found", logx.Field("status", 404))
+	logx.Severe("broken")
 	grpclog.Warningln("connection lost")
 	grpclog.Infoln("picked a transport")
 	logx.Debug("detail")
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	assert.Equal(t, len(lines), 2, out.String())
-	assert.Assert(t, strings.Contains(lines[0], `level=INFO msg=served logger=go-zero status=200`), lines[0])
+	assert.Assert(t, strings.Contains(lines[0], `level=ERROR msg=broken logger=go-zero`), lines[0])
 	assert.Assert(t, strings.Contains(lines[1], `msg="connection lost" logger=grpc severity=warning`), lines[1])
+
+	out.Reset()
+	journal.Capture(journal.New(journal.Options{Writer: &out, Level: slog.LevelDebug}))
+	logx.Infow("served", logx.Field("status", 200))
+	assert.Assert(t, strings.Contains(out.String(), `level=DEBUG msg=served logger=go-zero status=200`), out.String())
 }
