--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -44,9 +44,9 @@
 
 type zeroWriter struct{ logger logr.Logger }
 
-func (w zeroWriter) Alert(v any)  { w.logger.Error(nil, text(v)) }
-func (w zeroWriter) Severe(v any) { w.logger.Error(nil, text(v)) }
-func (w zeroWriter) Stack(v any)  { w.logger.Error(nil, text(v)) }
+func (w zeroWriter) Alert(v any)                          { w.logger.Error(nil, text(v)) }
+func (w zeroWriter) Severe(v any)                         { w.logger.Error(nil, text(v)) }
+func (w zeroWriter) Stack(v any)                          { w.logger.Error(nil, text(v)) }
 func (w zeroWriter) Error(v any, fields ...logx.LogField) { w.detail(v, fields) }
 func (w zeroWriter) Info(v any, fields ...logx.LogField)  { w.detail(v, fields) }
 func (w zeroWriter) Slow(v any, fields ...logx.LogField)  { w.detail(v, fields) }
@@ -72,7 +72,8 @@
 	return list
 }
 
-// NewGRPCLogger returns a logger for grpc. The information that grpc logs about each connection counts as detail.
+// NewGRPCLogger returns a logger for grpc. Information and warnings count as detail: grpc warns of each failed dial,
+// several times a second while a peer is down, and the daemon's own log says once that the peer is suspect.
 func NewGRPCLogger(logger logr.Logger) grpclog.LoggerV2 { return grpcLogger{logger: logger} }
 
 type grpcLogger struct{ logger logr.Logger }
@@ -80,10 +81,10 @@
 func (l grpcLogger) Info(args ...any)                 { l.detail(fmt.Sprint(args...)) }
 func (l grpcLogger) Infoln(args ...any)               { l.detail(fmt.Sprintln(args...)) }
 func (l grpcLogger) Infof(format string, args ...any) { l.detail(fmt.Sprintf(format, args...)) }
-func (l grpcLogger) Warning(args ...any)              { l.warn(fmt.Sprint(args...)) }
-func (l grpcLogger) Warningln(args ...any)            { l.warn(fmt.Sprintln(args...)) }
+func (l grpcLogger) Warning(args ...any)              { l.detail(fmt.Sprint(args...)) }
+func (l grpcLogger) Warningln(args ...any)            { l.detail(fmt.Sprintln(args...)) }
 func (l grpcLogger) Warningf(format string, args ...any) {
-	l.warn(fmt.Sprintf(format, args...))
+	l.detail(fmt.Sprintf(format, args...))
 }
 func (l grpcLogger) Error(args ...any)                 { l.fail(fmt.Sprint(args...)) }
 func (l grpcLogger) Errorln(args ...any)               { l.fail(fmt.Sprintln(args...)) }
@@ -97,5 +98,4 @@
 func (l grpcLogger) V(level int) bool { return l.logger.V(level + detail).Enabled() }
 
 func (l grpcLogger) detail(line string) { l.logger.V(detail).Info(strings.TrimSpace(line)) }
-func (l grpcLogger) warn(line string)   { l.logger.Info(strings.TrimSpace(line), "severity", "warning") }
 func (l grpcLogger) fail(line string)   { l.logger.Error(nil, strings.TrimSpace(line)) }
