--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -124,6 +124,31 @@
 	})
 }
 
+// Guards against an operator who publishes the manifest before its parts and is told nothing, and against a daemon that
+// then needs more than the parts to follow.
+func TestStatusNamesAVersionWithoutParts(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 2})
+	values := harness.Values(f.Publication(2, leaving("zone-a-1")))
+	parts := make(map[string][]byte)
+	for key, data := range values {
+		if strings.HasPrefix(key, cicadacross.KeyPartPrefix) {
+			parts[key] = data
+		}
+	}
+	manifest := map[string][]byte{cicadacross.KeyManifest: values[cicadacross.KeyManifest]}
+	assert.NilError(t, f.PlatformControl().Publish(context.Background(), manifest))
+	var last harness.CommandResult
+	harness.Eventually(t, recovery, "status names the version that waits", func() bool {
+		last = statusOf(t, f)
+		return containsEach(last.Out, []string{"waiting for ", "can't fetch version 2-"})
+	})
+	assert.Equal(t, last.Code, command.ExitBad, "%v", last)
+	assert.NilError(t, f.PlatformControl().Publish(context.Background(), parts))
+	last = statusOf(t, f, "--expect=2", "--wait=14s")
+	assert.Equal(t, last.Code, command.ExitGood, "%v", last)
+}
+
 // Guards against decisions that the daemon that is asked can't find because another one made them, and against metrics
 // that don't move.
 func TestExplainAndMetricsOfARequest(t *testing.T) {
