--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -62,9 +62,11 @@
 	name    string
 	command *exec.Cmd
 	done    chan struct{}
-	mu      sync.Mutex
-	lines   []string
-	exit    error
+	// read is closed when all output is kept.
+	read  chan struct{}
+	mu    sync.Mutex
+	lines []string
+	exit  error
 }
 
 // keptLines bounds the log lines that are kept of one process.
@@ -73,7 +75,8 @@
 // Start starts the program. Its output is kept and printed when the test fails.
 func Start(t testing.TB, name, program string, environment []string, arguments ...string) *Process {
 	t.Helper()
-	p := &Process{name: name, command: exec.Command(Binary(t, program), arguments...), done: make(chan struct{})}
+	p := &Process{name: name, command: exec.Command(Binary(t, program), arguments...)}
+	p.done, p.read = make(chan struct{}), make(chan struct{})
 	p.command.Env = append(os.Environ(), environment...)
 	reader, writer := io.Pipe()
 	p.command.Stdout = writer
@@ -97,10 +100,13 @@
 	p.exit = err
 	p.mu.Unlock()
 	_ = writer.Close()
+	// A test that has waited for the end must find the last lines.
+	<-p.read
 	close(p.done)
 }
 
 func (p *Process) loop(reader io.Reader) {
+	defer close(p.read)
 	scanner := bufio.NewScanner(reader)
 	const longestLine = 1 << 20
 	scanner.Buffer(nil, longestLine)
