--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -61,11 +61,12 @@
 type Process struct {
 	name    string
 	command *exec.Cmd
-	read    chan struct{} // closed when all output has been read
-	done    chan struct{} // closed when the process has ended and all output has been read
-	mu      sync.Mutex
-	lines   []string
-	exit    error
+	done    chan struct{}
+	// read is closed when all output is kept.
+	read  chan struct{}
+	mu    sync.Mutex
+	lines []string
+	exit  error
 }
 
 // keptLines bounds the log lines that are kept of one process.
@@ -74,10 +75,8 @@
 // Start starts the program. Its output is kept and printed when the test fails.
 func Start(t testing.TB, name, program string, environment []string, arguments ...string) *Process {
 	t.Helper()
-	p := &Process{
-		name: name, command: exec.Command(Binary(t, program), arguments...),
-		read: make(chan struct{}), done: make(chan struct{}),
-	}
+	p := &Process{name: name, command: exec.Command(Binary(t, program), arguments...)}
+	p.done, p.read = make(chan struct{}), make(chan struct{})
 	p.command.Env = append(os.Environ(), environment...)
 	reader, writer := io.Pipe()
 	p.command.Stdout = writer
@@ -101,6 +100,7 @@
 	p.exit = err
 	p.mu.Unlock()
 	_ = writer.Close()
+	// A test that has waited for the end must find the last lines.
 	<-p.read
 	close(p.done)
 }
