--- a/internal/idempotency/network_test.go
+++ b/internal/idempotency/network_test.go
@@ -44,6 +44,9 @@
 }
 
 func (c *claimer) call(ctx context.Context, peer string, claim *idempotency.Claim) outcome {
+	if ctx.Err() != nil {
+		return outcome{err: ctx.Err()}
+	}
 	m := &message{from: c.daemon, life: c.life, to: peer, claim: claim, result: make(chan outcome, 1)}
 	c.daemon.world.fresh <- m
 	select {
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -166,10 +166,20 @@
 		case <-s.gapOpened:
 		case <-ticker.C():
 		}
+		// One round serves both signals when they come together.
+		drain(s.gapOpened)
+		drain(ticker.C())
 		s.tick(ctx)
 	}
 }
 
+func drain[T any](c <-chan T) {
+	select {
+	case <-c:
+	default:
+	}
+}
+
 func (s *Store) tick(ctx context.Context) {
 	s.mu.Lock()
 	now := s.opts.Timers.Now()
