--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,6 +137,7 @@
 		Timers:  d.timers,
 		Claimer: idempotency.NewClient(d.pool),
 		Seen:    d.view.Seen,
+		Members: d.view.Addresses,
 		Settled: d.fleet.Settled,
 		Window:  d.settings.RepeatWindow,
 	})
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -7,6 +7,7 @@
 
 	"cicadacross"
 	"cicadacross/internal/fleet"
+	"cicadacross/internal/idempotency"
 )
 
 // viewInterval is how often the view is renewed. A peer becomes suspect after seconds, so that a quarter of one more
@@ -70,5 +71,17 @@
 	return m.Version, ok && m.Heard
 }
 
+// Addresses returns all known hosts with the addresses at which they serve other daemons.
+func (v *memberView) Addresses() []idempotency.Member {
+	byHost := *v.byHost.Load()
+	list := make([]idempotency.Member, 0, len(byHost))
+	for _, m := range byHost {
+		if m.Peer != "" {
+			list = append(list, idempotency.Member{Host: m.Host, Peer: m.Peer})
+		}
+	}
+	return list
+}
+
 // Suspect reports whether the daemon of the host failed to answer lately.
 func (v *memberView) Suspect(host string) bool { return (*v.byHost.Load())[host].Suspect }
