ingress, relay: say unknown when an earlier attempt may have run

A retry that was refused made a request "not-run" whose first attempt had been started. Refusals of keyed requests whose key nobody looked up now carry X-Mesh-Earlier: unknown. A kept reply without a body is answered as unknown.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -45,11 +45,23 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if fault == nil {
-		return
+	if fault != nil {
+		s.refuse(w, q, fault)
+	}
+}
+
+// refuse answers a request for which no upstream's answer is at hand.
+func (s *Server) refuse(w http.ResponseWriter, q *request, fault *refused) {
+	if q.mayHaveRun && fault.outcome == cicadacross.OutcomeNotRun {
+		// The last attempt did not run, and an earlier one may have.
+		fault.outcome, fault.status = cicadacross.OutcomeUnknown, http.StatusBadGateway
 	}
 	s.opts.Decisions.Record(q.id, "refuse", "side", "ingress", "status", fault.status,
 		"outcome", fault.outcome.String(), "reason", fault.reason, "text", fault.text)
+	if fault.status == http.StatusServiceUnavailable && !fault.byOwner {
+		// Only the owner of a key knows whether an earlier send ran.
+		fault.earlierUnknown = q.http.Header.Get(cicadacross.HeaderIdempotencyKey) != "" && !q.route.Repeatable()
+	}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -84,27 +96,15 @@
 	var tried []string
 	var last *refused
 	for n := range maxAttempts {
-		target, ok := s.pick(q, tried)
-		switch {
-		case !ok && last == nil:
-			last = unavailable("no_target", "no target of the service takes work")
-			last.earlierUnknown = q.key != ""
-			return last, nil
-		case !ok:
-			return last, nil
-		case s.remaining(q) <= 0:
-			if last == nil {
-				last = unavailable(relay.RefusalDeadline, "no time is left")
-			}
-			return last, nil
-		case n > 0 && !s.budget.retry():
-			s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
-			return last, nil
+		target, fault := s.next(q, tried, last)
+		if fault != nil {
+			return fault, nil
 		}
 		head := s.head(q, target, headers)
 		head.Attempt = uint32(n) // #nosec G115
 		var err error
 		last, err = s.attempt(w, q, target, head)
+		q.mayHaveRun = q.mayHaveRun || last == nil || last.outcome != cicadacross.OutcomeNotRun
 		if last == nil || err != nil || !s.retryable(q, last) {
 			return last, err
 		}
@@ -120,6 +120,24 @@
 	return last, nil
 }
 
+// next returns the target of the next attempt, or the answer when there is none. The answer of the attempt before is
+// nil at the first one.
+func (s *Server) next(q *request, tried []string, last *refused) (cicadacross.Target, *refused) {
+	target, ok := s.pick(q, tried)
+	switch {
+	case !ok && last == nil:
+		return target, unavailable("no_target", "no target of the service takes work")
+	case s.remaining(q) <= 0 && last == nil:
+		return target, unavailable(relay.RefusalDeadline, "no time is left")
+	case !ok, s.remaining(q) <= 0:
+		return target, last
+	case last != nil && !s.budget.retry():
+		s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
+		return target, last
+	}
+	return target, nil
+}
+
 // retryable reports whether another attempt may be made: the earlier one did not run, or the request may run twice and
 // its whole body is at hand.
 func (s *Server) retryable(q *request, last *refused) bool {
@@ -243,9 +261,7 @@
 		if ctx.Err() == nil {
 			s.evidence.observe(target.Host(), false)
 		}
-		fault := unavailable("unreachable", err.Error())
-		fault.earlierUnknown = q.key != ""
-		return fault, nil
+		return unavailable("unreachable", err.Error()), nil
 	}
 	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx}
 	defer a.close()
@@ -256,9 +272,7 @@
 func (a *attempt) lost(err error) *refused {
 	var e *relay.Error
 	if errors.As(err, &e) && e.Kind() == relay.KindRejected {
-		fault := unavailable("rejected", err.Error())
-		fault.earlierUnknown = a.q.key != ""
-		return fault
+		return unavailable("rejected", err.Error())
 	}
 	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return unknown(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
--- a/internal/ingress/refused.go
+++ b/internal/ingress/refused.go
@@ -19,6 +19,7 @@
 	retryAfter time.Duration
 	// earlierUnknown says that an earlier send of the same key may have run.
 	earlierUnknown bool
+	byOwner        bool
 }
 
 func badRequest(reason, text string) *refused {
@@ -41,7 +42,7 @@
 func fromRefusal(m *peerpb.Refusal) *refused {
 	answer := unavailable(m.GetKind(), m.GetReason())
 	answer.retryAfter = time.Duration(m.GetRetryAfterMs()) * time.Millisecond // #nosec G115
-	answer.earlierUnknown = m.GetEarlierUnknown()
+	answer.earlierUnknown, answer.byOwner = m.GetEarlierUnknown(), true
 	switch m.GetKind() {
 	case relay.RefusalShed:
 		answer.status = http.StatusTooManyRequests
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -35,6 +35,7 @@
 	depth         int
 	deadline      time.Time
 	body          *replayBody
+	mayHaveRun    bool // an attempt was started
 }
 
 // read checks the headers and fixes the route. The result is nil when the request is refused.
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -82,7 +82,7 @@
 		}})
 	}
 	if !o.enter() {
-		return r.refuse(refusal(RefusalDraining, "the daemon is stopping"))
+		return r.refuseUnseen(refusal(RefusalDraining, "the daemon is stopping"))
 	}
 	defer o.leave()
 	return r.serve()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -39,7 +39,7 @@
 
 func (r *run) serve() error {
 	if refused := r.check(); refused != nil {
-		return r.refuse(refused)
+		return r.refuseUnseen(refused)
 	}
 	ctx, cancel := context.WithTimeout(r.session.Context(), r.remaining())
 	defer cancel()
@@ -92,9 +92,7 @@
 	// The control loop may not have noticed yet that the process was stopped.
 	paused := o.opts.Pause != nil && o.opts.Pause.Lost() > 0
 	if paused || (o.opts.Settled != nil && !o.opts.Settled()) {
-		r := refusal(RefusalUnsettled, "the owner's evidence is outdated")
-		r.EarlierUnknown = true
-		return r
+		return refusal(RefusalUnsettled, "the owner's evidence is outdated")
 	}
 	service, ok := c.Service(own.Service())
 	if !ok {
@@ -102,9 +100,7 @@
 	}
 	owner, ok := o.opts.KeyOwner(service, r.head.GetIdempotencyKey())
 	if !ok || owner.Host() != o.opts.Host {
-		r := refusal(RefusalDisagree, "another target owns the key in version "+c.Version().String())
-		r.EarlierUnknown = true
-		return r
+		return refusal(RefusalDisagree, "another target owns the key in version "+c.Version().String())
 	}
 	return nil
 }
@@ -123,6 +119,8 @@
 	switch {
 	case err != nil:
 		return true, r.deny(StageKeys, err)
+	case kept != nil && kept.Body == nil:
+		return true, r.fail(FailureKey, "an earlier send ran, and its answer was too large to keep")
 	case kept != nil:
 		r.record("kept_reply")
 		return true, r.sendKept(kept)
@@ -190,6 +188,12 @@
 	return r.refuse(refused)
 }
 
+// refuseUnseen refuses a request before its key was looked up, so that an earlier send may have run.
+func (r *run) refuseUnseen(refused *peerpb.Refusal) error {
+	refused.EarlierUnknown = !r.head.GetRepeatable()
+	return r.refuse(refused)
+}
+
 func (r *run) refuse(refused *peerpb.Refusal) error {
 	r.record("refuse", "kind", refused.GetKind(), "reason", refused.GetReason())
 	refused.Load = r.owner.load()
