--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -253,7 +253,9 @@
 	f.t.Cleanup(n.grpcServer.Stop)
 	pool := peer.NewPool(fleetKey)
 	f.t.Cleanup(pool.Close)
-	n.client = relay.NewClient(relay.ClientOptions{Pool: pool, Host: n.host, Local: n.owner, Timers: clock})
+	n.client = relay.NewClient(relay.ClientOptions{
+		Pool: pool, Host: n.host, Local: n.owner, Timers: clock, SilenceLimit: 200 * time.Millisecond,
+	})
 	server, err := ingress.New(ingress.Options{
 		Host: n.host, Configuration: configuration, KeyOwner: keyOwner, Balancer: firstOf{}, Quarantine: n.quarantine,
 		Client: n.client, Decisions: noDecisions{}, Timers: clock,
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -30,6 +30,9 @@
 	Timers cicadacross.Timers
 	// ConnectLimit bounds the wait for a connection; 0 means 300 ms.
 	ConnectLimit time.Duration
+	// SilenceLimit is how long nothing may arrive from a daemon that holds requests before the connection is probed;
+	// 0 means 500 ms.
+	SilenceLimit time.Duration
 }
 
 // Client sends requests to the daemons that own the targets. It is safe for concurrent use.
@@ -43,6 +46,9 @@
 	if opts.ConnectLimit <= 0 {
 		opts.ConnectLimit = defaultConnectLimit
 	}
+	if opts.SilenceLimit <= 0 {
+		opts.SilenceLimit = defaultSilenceLimit
+	}
 	c := &Client{opts: opts}
 	c.watch.init(c)
 	return c
@@ -147,10 +153,10 @@
 // stops at the last message.
 func (s *Stream) Recv() (*peerpb.ForwardReply, error) {
 	m, err := s.link.Recv()
-	if s.heard != nil {
-		s.heard.mark()
-	}
 	if err == nil {
+		if s.heard != nil {
+			s.heard.mark()
+		}
 		return m, nil
 	}
 	switch status.Code(err) {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	watchTick = 250 * time.Millisecond
-	// silenceLimit is how long nothing may arrive from a daemon while it holds requests before the connection is
-	// probed. The grpc keepalive finds a silent connection only after 13 s.
-	silenceLimit = 500 * time.Millisecond
-	// probeLimit bounds the wait for the answer to a probe; an owner answers without a look at its queue.
-	probeLimit = 500 * time.Millisecond
+	// defaultSilenceLimit is how long nothing may arrive from a daemon while it holds requests before the connection
+	// is probed. The grpc keepalive finds a silent connection only after 13 s.
+	defaultSilenceLimit = 500 * time.Millisecond
+	// A probe waits for twice the silence limit, though an owner answers it without a look at its queue, and a
+	// connection is given up after two probes: the close breaks all requests on it, which a busy host doesn't deserve.
+	probeSilences = 2
+	probes        = 2
 )
 
 // watch finds connections to other daemons that went silent. It probes a connection that holds requests and delivers
@@ -80,6 +81,13 @@
 	h.mu.Unlock()
 }
 
+// since reports whether anything arrived after the time.
+func (h *heard) since(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last.After(t)
+}
+
 func (h *heard) end() {
 	h.mu.Lock()
 	h.open--
@@ -87,11 +95,11 @@
 }
 
 // suspect claims the probe of a connection that holds requests and delivered nothing for a while.
-func (h *heard) suspect() bool {
+func (h *heard) suspect(limit time.Duration) bool {
 	now := h.timers.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.open == 0 || h.probing || now.Sub(h.last) < silenceLimit {
+	if h.open == 0 || h.probing || now.Sub(h.last) < limit {
 		return false
 	}
 	h.probing = true
@@ -99,7 +107,7 @@
 }
 
 func (w *watch) run(ctx context.Context) {
-	timer := w.client.opts.Timers.Every(watchTick)
+	timer := w.client.opts.Timers.Every(w.client.opts.SilenceLimit / 2)
 	defer timer.Stop()
 	for {
 		select {
@@ -109,7 +117,7 @@
 		}
 		w.mu.Lock()
 		for address, h := range w.peers {
-			if h.suspect() {
+			if h.suspect(w.client.opts.SilenceLimit) {
 				p := &probe{client: w.client, heard: h, address: address}
 				go p.run(ctx)
 			}
@@ -125,9 +133,13 @@
 	address string
 }
 
-// run sends a head for no host, which every owner refuses at once.
+// run sends a head for no host, which every owner refuses at once, and closes the connection when nothing arrives.
 func (p *probe) run(ctx context.Context) {
-	answered := p.ask(ctx)
+	started := p.heard.timers.Now()
+	answered := false
+	for range probes {
+		answered = answered || p.ask(ctx) || p.heard.since(started)
+	}
 	if !answered && ctx.Err() == nil {
 		p.client.opts.Pool.Reset(p.address)
 	}
@@ -138,7 +150,7 @@
 }
 
 func (p *probe) ask(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	ctx, cancel := context.WithTimeout(ctx, probeSilences*p.client.opts.SilenceLimit)
 	defer cancel()
 	l, err := p.client.dial(ctx, p.address)
 	if err != nil {
