relay, ingress: count a request as in progress only when it has a slot, and don't retry after a crash

Requests that only waited became suspects of a crash, and a suspect that waited to run alone would have held up the queue by rank. A retry after a crash would carry the crash to the next upstream before the suspicion has spread.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -52,6 +52,9 @@
 			return fromRefusal(m.Refusal), nil
 		case *peerpb.ForwardReply_Failure:
 			a.observe(m.Failure.GetLoad())
+			if m.Failure.GetKind() == relay.FailureCrashed {
+				a.server.evidence.observe(a.target.Host(), false)
+			}
 			return fromFailure(m.Failure), nil
 		case *peerpb.ForwardReply_Head:
 			return a.answer(m.Head)
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -89,8 +89,8 @@
 // the answer broke off.
 func (s *Server) forward(w http.ResponseWriter, q *request) (*refused, error) {
 	headers := relay.EncodeHeader(q.http.Header)
-	print := relay.Fingerprint(q.service.Name(), q.http.Method, q.path(), q.body.start)
-	if s.opts.Quarantine.Blocked(print) {
+	fingerprint := relay.Fingerprint(q.service.Name(), q.http.Method, q.path(), q.body.start)
+	if s.opts.Quarantine.Blocked(fingerprint) {
 		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
 	}
 	var tried []string
@@ -145,6 +145,9 @@
 		return false
 	}
 	switch last.reason {
+	case relay.FailureCrashed:
+		// The request may be the one that crashes every upstream that runs it.
+		return false
 	case relay.RefusalQuarantined, relay.RefusalDeadline, relay.RefusalCanceled, relay.RefusalKeyConflict,
 		relay.FailurePreempted, relay.FailureTimeout:
 		return false
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -112,21 +112,41 @@
 func (r *keyRun) NotRun()                          { r.end(nil, false) }
 func (r *keyRun) Unknown()                         { r.end(nil, true) }
 
-// quarantine counts crashes and blocks nothing.
+// quarantine blocks every fingerprint that was in progress at a crash.
 type quarantine struct {
-	mu      sync.Mutex
-	crashes int
+	mu       sync.Mutex
+	progress map[uint64]int
+	blocked  map[uint64]bool
+}
+
+func (q *quarantine) Enter(_ context.Context, fingerprint uint64) (func(), error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.progress[fingerprint]++
+	return func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.progress[fingerprint]--
+	}, nil
+}
+
+func (q *quarantine) Blocked(fingerprint uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.blocked[fingerprint]
 }
 
-func (q *quarantine) Enter(context.Context, uint64) (func(), error) { return func() {}, nil }
-func (q *quarantine) Blocked(uint64) bool                           { return false }
-func (q *quarantine) Suspects() []cicadacross.Suspect               { return nil }
-func (q *quarantine) Merge([]cicadacross.Suspect)                   {}
 func (q *quarantine) Crashed() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.crashes++
+	for fingerprint, count := range q.progress {
+		if count > 0 {
+			q.blocked[fingerprint] = true
+		}
+	}
 }
+func (q *quarantine) Suspects() []cicadacross.Suspect { return nil }
+func (q *quarantine) Merge([]cicadacross.Suspect)     {}
 
 // firstOf is a balancer that takes the candidates in their order.
 type firstOf struct{}
@@ -189,7 +209,9 @@
 	var targets []cicadacross.Target
 	var listeners []net.Listener
 	for i := range opts.hosts {
-		n := &node{host: fmt.Sprintf("host-%d", i), quarantine: &quarantine{}}
+		n := &node{host: fmt.Sprintf("host-%d", i), quarantine: &quarantine{
+			progress: make(map[uint64]int), blocked: make(map[uint64]bool),
+		}}
 		n.standin = standin.New(standin.Options{Behavior: opts.behavior, Timers: timer.System{}})
 		assert.NilError(t, n.standin.Start("127.0.0.1:0"))
 		t.Cleanup(n.standin.Close)
--- a/internal/ingress/owner_test.go
+++ b/internal/ingress/owner_test.go
@@ -12,6 +12,7 @@
 	"cicadacross"
 	"cicadacross/internal/relay"
 	standin "cicadacross/internal/standin/upstream"
+	"cicadacross/internal/timer"
 )
 
 // preempting is an admission policy that ends the work in progress on demand.
@@ -66,3 +67,33 @@
 	agreed.Store(true)
 	assert.Equal(t, (<-got).outcome(), "done")
 }
+
+// Guards against a request that crashes one upstream after another, and against suspicion of a request that only waited
+// for a slot when the upstream crashed.
+func TestCrashingRequestIsNotSentAgain(t *testing.T) {
+	f := newFleet(t, fleetOptions{slots: 1, behavior: standin.Behavior{
+		CrashPath: "/pages/crash", ServiceTimes: map[string]time.Duration{"/pages/slow": 200 * time.Millisecond},
+	}})
+	n := f.nodes[0]
+	address := n.standin.Address()
+	slow, waiting := make(chan answer), make(chan answer)
+	go func() { slow <- f.call(0, "GET", "/pages/slow", nil) }()
+	waitFor(t, "the slow request", func() bool { return n.standin.InProgress() == 1 })
+	go func() { waiting <- f.call(0, "GET", "/pages/crash", nil) }()
+	waitFor(t, "the queue", func() bool { return n.owner.InProgress() == 2 })
+	go func() { waiting <- f.call(0, "GET", "/pages/innocent", nil) }()
+	waitFor(t, "the queue", func() bool { return n.owner.InProgress() == 3 })
+	assert.Equal(t, (<-slow).outcome(), "done")
+	<-waiting
+	<-waiting
+	assert.Equal(t, f.nodes[1].standin.Executions().ByPath["/pages/crash"], 0, "a crash must not spread by a retry")
+	next := standin.New(standin.Options{Timers: timer.System{}})
+	assert.NilError(t, next.Start(address))
+	defer next.Close()
+	got := f.call(0, "GET", "/pages/crash", nil)
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.outcome(), "not-run")
+	assert.Equal(t, got.header.Get("X-Mesh-Reason"), relay.RefusalQuarantined)
+	assert.Equal(t, f.call(0, "GET", "/pages/innocent", nil).outcome(), "done")
+	assert.Equal(t, next.Executions().ByPath["/pages/crash"], 0)
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -168,8 +168,11 @@
 		return FailurePreempted
 	}
 	kind, _ := failure.KindOf[upstream.Kind](err)
-	if kind == upstream.KindSilent || kind == upstream.KindTimeout {
+	switch {
+	case kind == upstream.KindSilent, kind == upstream.KindTimeout:
 		return FailureTimeout
+	case kind == upstream.KindBroken && r.owner.opts.Upstream.State().Down:
+		return FailureCrashed
 	}
 	return FailureBroken
 }
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -30,6 +30,8 @@
 	FailurePreempted = "preempted"
 	FailureTimeout   = "timeout"
 	FailureBroken    = "broken"
+	// FailureCrashed means that the upstream crashed with the request in progress.
+	FailureCrashed = "crashed"
 )
 
 // Stage is the step at which a request was refused.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -129,13 +129,14 @@
 	return false, nil
 }
 
-// admit takes the place in progress and the slot. It reports false when the request is answered by a refusal.
+// admit takes the slot and then the place in progress, so that requests which only wait for a slot are not suspected of
+// a crash, and a suspect that waits to run alone doesn't hold up the queue by rank. It reports false when the request
+// is answered by a refusal.
 func (r *run) admit(ctx context.Context, cancel context.CancelFunc) (bool, error) {
 	o := r.owner
-	print := Fingerprint(r.head.GetService(), r.head.GetMethod(), r.head.GetPath(), r.head.GetBody())
-	leave, err := o.opts.Quarantine.Enter(ctx, print)
-	if err != nil {
-		return false, r.deny(StageQuarantine, err)
+	fingerprint := Fingerprint(r.head.GetService(), r.head.GetMethod(), r.head.GetPath(), r.head.GetBody())
+	if o.opts.Quarantine.Blocked(fingerprint) {
+		return false, r.notRun(refusal(RefusalQuarantined, "the request crashed upstreams"), nil)
 	}
 	opts := cicadacross.WorkOptions{
 		RequestID:  r.head.GetRequestId(),
@@ -152,9 +153,13 @@
 	}
 	slot, err := o.opts.Admission.Acquire(ctx, cicadacross.NewWork(opts))
 	if err != nil {
-		leave()
 		return false, r.deny(StageAdmission, err)
 	}
+	leave, err := o.opts.Quarantine.Enter(ctx, fingerprint)
+	if err != nil {
+		slot.Release()
+		return false, r.deny(StageQuarantine, err)
+	}
 	r.release = sync.OnceFunc(func() {
 		slot.Release()
 		leave()
