--- a/internal/ingress/outcome_test.go
+++ b/internal/ingress/outcome_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	standin "cicadacross/internal/standin/upstream"
+	"cicadacross/internal/timer"
 )
 
 // Guards against a cut answer that ends as a success, for answers with and without a length.
@@ -248,3 +249,19 @@
 	assert.Equal(t, got.status, 503)
 	assert.Equal(t, got.outcome(), "not-run")
 }
+
+// Guards against retries that multiply the load when every upstream fails: the budget is a tenth of the requests and
+// 3 a second.
+func TestRetryBudget(t *testing.T) {
+	const requests = 60
+	f := newFleet(t, fleetOptions{behavior: standin.Behavior{CloseAfterRequest: true}})
+	clock := timer.System{}
+	start := clock.Now()
+	for range requests {
+		assert.Equal(t, f.call(0, "GET", "/pages/a", nil).outcome(), "unknown")
+	}
+	seconds := int(clock.Now().Sub(start)/time.Second) + 1
+	started := f.nodes[0].standin.Executions().Started + f.nodes[1].standin.Executions().Started
+	assert.Assert(t, started > requests, "no retry was made")
+	assert.Assert(t, started <= requests+requests/10+3*(seconds+1), "%d executions", started)
+}
