--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -45,11 +45,23 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if fault == nil {
-		return
+	if fault != nil {
+		s.refuse(w, q, fault)
+	}
+}
+
+// refuse answers a request for which no upstream's answer is at hand.
+func (s *Server) refuse(w http.ResponseWriter, q *request, fault *refused) {
+	if q.mayHaveRun && fault.outcome == cicadacross.OutcomeNotRun {
+		// The last attempt did not run, and an earlier one may have.
+		fault.outcome, fault.status = cicadacross.OutcomeUnknown, http.StatusBadGateway
 	}
 	s.opts.Decisions.Record(q.id, "refuse", "side", "ingress", "status", fault.status,
 		"outcome", fault.outcome.String(), "reason", fault.reason, "text", fault.text)
+	if fault.status == http.StatusServiceUnavailable && !fault.byOwner {
+		// Only the owner of a key knows whether an earlier send ran.
+		fault.earlierUnknown = q.http.Header.Get(cicadacross.HeaderIdempotencyKey) != "" && !q.route.Repeatable()
+	}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -78,19 +90,15 @@
 func (s *Server) forward(w http.ResponseWriter, q *request) (*refused, error) {
 	headers := relay.EncodeHeader(q.http.Header)
 	q.fingerprint = relay.Fingerprint(q.service.Name(), q.http.Method, q.path(), q.body.start)
+	if s.opts.Quarantine.Blocked(q.fingerprint) {
+		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
+	}
 	var tried []string
 	var last *refused
 	for n := 0; n < maxAttempts; {
-		target, obstacle := s.next(q, tried)
-		if obstacle != nil && last == nil {
-			return obstacle, nil
-		}
-		if obstacle != nil {
-			return last, nil
-		}
-		if last != nil && !last.free() && !s.budget.retry() {
-			s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
-			return last, nil
+		target, fault := s.next(q, tried, last)
+		if fault != nil {
+			return fault, nil
 		}
 		head := s.head(q, target, headers)
 		head.Attempt = uint32(n) // #nosec G115
@@ -99,6 +107,7 @@
 		if last == nil || !last.free() {
 			n++
 		}
+		q.mayHaveRun = q.mayHaveRun || last == nil || last.outcome != cicadacross.OutcomeNotRun
 		if last == nil || err != nil || !s.retryable(q, last) {
 			return last, err
 		}
@@ -114,19 +123,20 @@
 	return last, nil
 }
 
-// next chooses the target of the next attempt. The refusal is not nil when no attempt can be made.
-func (s *Server) next(q *request, tried []string) (cicadacross.Target, *refused) {
-	if s.opts.Quarantine.Blocked(q.fingerprint) {
-		return cicadacross.Target{}, unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined")
-	}
+// next returns the target of the next attempt, or the answer when there is none. The answer of the attempt before is
+// nil at the first one.
+func (s *Server) next(q *request, tried []string, last *refused) (cicadacross.Target, *refused) {
 	target, ok := s.pick(q, tried)
-	if !ok {
-		fault := unavailable("no_target", "no target of the service takes work")
-		fault.earlierUnknown = q.key != ""
-		return target, fault
-	}
-	if s.remaining(q) <= 0 {
+	switch {
+	case !ok && last == nil:
+		return target, unavailable("no_target", "no target of the service takes work")
+	case s.remaining(q) <= 0 && last == nil:
 		return target, unavailable(relay.RefusalDeadline, "no time is left")
+	case !ok, s.remaining(q) <= 0:
+		return target, last
+	case last != nil && !last.free() && !s.budget.retry():
+		s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
+		return target, last
 	}
 	return target, nil
 }
@@ -138,6 +148,9 @@
 		return false
 	}
 	switch last.reason {
+	case relay.FailureCrashed:
+		// The request may be the one that crashes every upstream that runs it.
+		return false
 	case relay.RefusalQuarantined, relay.RefusalDeadline, relay.RefusalCanceled, relay.RefusalKeyConflict,
 		relay.FailurePreempted, relay.FailureTimeout:
 		return false
@@ -268,9 +281,7 @@
 		if ctx.Err() == nil {
 			s.evidence.observe(target.Host(), false)
 		}
-		fault := unavailable(reasonUnreachable, err.Error())
-		fault.earlierUnknown = q.key != ""
-		return fault, nil
+		return unavailable(reasonUnreachable, err.Error()), nil
 	}
 	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx}
 	defer a.close()
@@ -281,9 +292,7 @@
 func (a *attempt) lost(err error) *refused {
 	var e *relay.Error
 	if errors.As(err, &e) && e.Kind() == relay.KindRejected {
-		fault := unavailable("rejected", err.Error())
-		fault.earlierUnknown = a.q.key != ""
-		return fault
+		return unavailable("rejected", err.Error())
 	}
 	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return unknown(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -35,6 +35,7 @@
 	depth         int
 	deadline      time.Time
 	body          *replayBody
+	mayHaveRun    bool // an attempt was started
 	// fingerprint identifies the request for the quarantine.
 	fingerprint uint64
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -40,7 +40,7 @@
 
 func (r *run) serve() error {
 	if refused := r.check(); refused != nil {
-		return r.refuse(refused)
+		return r.refuseUnseen(refused)
 	}
 	ctx, cancel := context.WithTimeout(r.session.Context(), r.remaining())
 	defer cancel()
@@ -93,9 +93,7 @@
 	// The control loop may not have noticed yet that the process was stopped.
 	paused := o.opts.Pause != nil && o.opts.Pause.Lost() > 0
 	if paused || (o.opts.Settled != nil && !o.opts.Settled()) {
-		r := refusal(RefusalUnsettled, "the owner's evidence is outdated")
-		r.EarlierUnknown = true
-		return r
+		return refusal(RefusalUnsettled, "the owner's evidence is outdated")
 	}
 	service, ok := c.Service(own.Service())
 	if !ok {
@@ -103,9 +101,7 @@
 	}
 	owner, ok := o.opts.KeyOwner(service, r.head.GetIdempotencyKey())
 	if !ok || owner.Host() != o.opts.Host {
-		r := refusal(RefusalDisagree, "another target owns the key in version "+c.Version().String())
-		r.EarlierUnknown = true
-		return r
+		return refusal(RefusalDisagree, "another target owns the key in version "+c.Version().String())
 	}
 	return nil
 }
@@ -124,6 +120,8 @@
 	switch {
 	case err != nil:
 		return true, r.deny(StageKeys, err)
+	case kept != nil && kept.Body == nil:
+		return true, r.fail(FailureKey, "an earlier send ran, and its answer was too large to keep")
 	case kept != nil:
 		r.record("kept_reply")
 		return true, r.sendKept(kept)
@@ -132,13 +130,14 @@
 	return false, nil
 }
 
-// admit takes the place in progress and the slot. It reports false when the request is answered by a refusal.
+// admit takes the slot and then the place in progress, so that requests which only wait for a slot are not suspected of
+// a crash, and a suspect that waits to run alone doesn't hold up the queue by rank. It reports false when the request
+// is answered by a refusal.
 func (r *run) admit(ctx context.Context, cancel context.CancelFunc) (bool, error) {
 	o := r.owner
-	print := Fingerprint(r.head.GetService(), r.head.GetMethod(), r.head.GetPath(), r.head.GetBody())
-	leave, err := o.opts.Quarantine.Enter(ctx, print)
-	if err != nil {
-		return false, r.deny(StageQuarantine, err)
+	fingerprint := Fingerprint(r.head.GetService(), r.head.GetMethod(), r.head.GetPath(), r.head.GetBody())
+	if o.opts.Quarantine.Blocked(fingerprint) {
+		return false, r.notRun(refusal(RefusalQuarantined, "the request crashed upstreams"), nil)
 	}
 	opts := cicadacross.WorkOptions{
 		RequestID:  r.head.GetRequestId(),
@@ -155,9 +154,13 @@
 	}
 	slot, err := o.opts.Admission.Acquire(ctx, cicadacross.NewWork(opts))
 	if err != nil {
-		leave()
 		return false, r.deny(StageAdmission, err)
 	}
+	leave, err := o.opts.Quarantine.Enter(ctx, fingerprint)
+	if err != nil {
+		slot.Release()
+		return false, r.deny(StageQuarantine, err)
+	}
 	r.release = sync.OnceFunc(func() {
 		slot.Release()
 		leave()
@@ -191,6 +194,12 @@
 	return r.refuse(refused)
 }
 
+// refuseUnseen refuses a request before its key was looked up, so that an earlier send may have run.
+func (r *run) refuseUnseen(refused *peerpb.Refusal) error {
+	refused.EarlierUnknown = !r.head.GetRepeatable()
+	return r.refuse(refused)
+}
+
 func (r *run) refuse(refused *peerpb.Refusal) error {
 	r.record("refuse", "kind", refused.GetKind(), "reason", refused.GetReason())
 	refused.Load = r.owner.load()
@@ -200,7 +209,7 @@
 func (r *run) fail(kind, reason string) error {
 	r.record("fail", "kind", kind, "reason", reason)
 	failed := &peerpb.ReplyFailure{Kind: kind, Reason: reason, Load: r.owner.load()}
-	if kind == FailureBroken {
+	if kind == FailureCrashed {
 		failed.Suspects = peer.EncodeSuspects(r.owner.opts.Quarantine)
 	}
 	return r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Failure{Failure: failed}})
