--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// pace spreads the requests of a caller over the time of the faults.
+const pace = 20 * time.Millisecond
+
 // trial is one request of the fault test with what the caller was told.
 type trial struct {
 	id, key, body string
@@ -59,9 +62,9 @@
 // no upstream ran the request, "done" that the caller got its own whole answer, and a key must run at most once.
 func TestOutcomesAreTrueUnderFaults(t *testing.T) {
 	t.Parallel()
-	f := harness.NewFleet(t, harness.Options{Zones: 3, HostsPerZone: 2, UpstreamFlags: []string{"--service-time=20ms"}})
+	f := harness.NewFleet(t, harness.Options{Zones: 3, HostsPerZone: 2, UpstreamFlags: []string{"--service-time=100ms"}})
 	settle()
-	const callers, requests = 6, 60
+	const callers, requests = 12, 60
 	trials := make([][]*trial, callers)
 	var group sync.WaitGroup
 	for c := range callers {
@@ -123,6 +126,7 @@
 			}
 		}
 		trials = append(trials, one)
+		time.Sleep(pace)
 	}
 	return trials
 }
