--- a/internal/fleet/apply.go
+++ b/internal/fleet/apply.go
@@ -120,6 +120,7 @@
 	f.log.Info("configuration applied", "version", d.version.String(), "from", from)
 	f.members.reconcile(d.configuration)
 	f.compareSettings(d.configuration)
+	f.retainConnections()
 	f.readers.stale = true
 	if previous == nil {
 		// So far only the seeds and the hosts that they named were known, by all daemons that started at this time.
@@ -131,6 +132,18 @@
 	f.coldApplied(now, d.task.from)
 }
 
+// retainConnections closes the connections to hosts that the register no longer names.
+func (f *Fleet) retainConnections() {
+	known := make(map[string]bool)
+	for _, address := range f.opts.Seeds {
+		known[address] = true
+	}
+	for _, m := range f.members.byHost {
+		known[m.peer] = true
+	}
+	f.pool.Retain(func(address string) bool { return known[address] })
+}
+
 // compareSettings notices a host whose settings and register entry differ, which other daemons can't reach.
 func (f *Fleet) compareSettings(c *cicadacross.Configuration) {
 	mismatch := ""
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -274,7 +274,7 @@
 
 // mergeMember takes what a peer tells of a third host, or of this one.
 func (f *Fleet) mergeMember(now time.Time, p *peerpb.Member, senderVersion cicadacross.Version) {
-	if !validName(p.GetHost()) {
+	if !validName(p.GetHost()) || p.GetIncarnation() > maxIncarnation {
 		return
 	}
 	if p.GetHost() == f.opts.Host {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,6 +27,8 @@
 	settle = 2 * time.Millisecond
 )
 
+var downFaults = standin.Faults{Down: true}
+
 // node is one daemon of a cluster.
 type node struct {
 	*fleet.Fleet
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -22,6 +22,8 @@
 	digestLength = 32
 	// maxDigests is the number of parts that one call may ask for.
 	maxDigests = 16_384
+	// maxIncarnation leaves room above the largest incarnation that is believed.
+	maxIncarnation = 1 << 62
 	// maxAge bounds ages, so that sums of times can't overflow.
 	maxAge = 1000 * time.Hour
 )
@@ -127,6 +129,9 @@
 	if err != nil {
 		return word{}, err
 	}
+	if self.GetIncarnation() > maxIncarnation {
+		return word{}, newError(op, KindInvalid, "incarnation %d", self.GetIncarnation())
+	}
 	if len(body.GetMembers()) > maxSample || len(body.GetReaders()) > maxReaders || len(body.GetSuspects()) > maxSuspects {
 		return word{}, newError(op, KindInvalid, "%d members, %d readers, %d suspects",
 			len(body.GetMembers()), len(body.GetReaders()), len(body.GetSuspects()))
