--- a/internal/fleet/peer_test.go
+++ b/internal/fleet/peer_test.go
@@ -136,8 +136,10 @@
 	_, err = n.Exchange(context.Background(), &peerpb.ExchangeRequest{
 		Self:        &peerpb.Member{Host: "host-77", HeardAgeMs: maximum},
 		SourceAgeMs: &maximum,
-		Members:     []*peerpb.Member{nil, {Host: n.opts.Host, Incarnation: maximum}, {Host: "host-78", Peer: "nowhere", HeardAgeMs: maximum}},
-		Readers:     []*peerpb.Reader{nil, {Host: "host-79", AliveAgeMs: maximum}},
+		Members: []*peerpb.Member{
+			nil, {Host: n.opts.Host, Incarnation: maximum}, {Host: "host-78", Peer: "nowhere", HeardAgeMs: maximum},
+		},
+		Readers: []*peerpb.Reader{nil, {Host: "host-79", AliveAgeMs: maximum}},
 	})
 	assert.NilError(t, err)
 	members := n.Members()
