fleet: tell other daemons at once when a host is back from leaving

A host that was replaced counted as leaving on every daemon that hadn't met the new process or a sample with it, which takes minutes in a large fleet. The end of leaving by the word of a host is now passed on like its beginning. News about many hosts is sent in several messages instead of being cut off at 16 hosts, at most once a tick.

platform: put off the second SIGTERM of the HTTP client's library, which would end requests 5.5 s into a graceful shutdown.

--- a/internal/fleet/coldstart.go
+++ b/internal/fleet/coldstart.go
@@ -173,6 +173,6 @@
 	}
 	c.phase = phaseReady
 	f.ready.Store(true)
-	f.settled.Store(true)
+	f.settled.Store(!f.pause.active)
 	f.log.Info("ready", "version", f.version().String(), "source", c.sourceOK, "peers", c.peersSeen)
 }
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -109,7 +109,9 @@
 	m, ask := f.nextPartner(now)
 	if n := len(f.opts.Seeds); n > 0 && (m == nil || m.suspect(now)) && rand.IntN(2) == 0 {
 		// The register may be so old that none of its hosts exists any more; the seeds are kept up to date.
-		f.beginExchange(now, "", f.opts.Seeds[rand.IntN(n)], cicadacross.Version{})
+		if seed := f.opts.Seeds[rand.IntN(n)]; seed != f.opts.Peer {
+			f.beginExchange(now, "", seed, cicadacross.Version{})
+		}
 		return
 	}
 	switch {
@@ -252,7 +254,7 @@
 	// The word of the process itself stands above what others told of its host.
 	m.incarnation, m.version, m.draining = w.self.GetIncarnation(), w.version, w.self.GetLeaving()
 	m.reader = w.self.GetReader()
-	f.leavingChanged(now, m.host)
+	f.leavingHeard(now, m.host)
 	return m
 }
 
@@ -312,7 +314,7 @@
 		m.draining = m.draining || p.GetLeaving()
 	}
 	m.listedLeaving = later(now, m.listedLeaving, p.ListedLeavingAgeMs)
-	f.leavingChanged(now, m.host)
+	f.leavingHeard(now, m.host)
 }
 
 // mergeSelf takes what a peer tells of this host. A record of a later process means that this host's clock went back,
@@ -323,5 +325,5 @@
 		f.incarnation = p.GetIncarnation() + 1
 	}
 	f.selfListed = later(now, f.selfListed, p.ListedLeavingAgeMs)
-	f.leavingChanged(now, f.opts.Host)
+	f.leavingHeard(now, f.opts.Host)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,7 +67,8 @@
 	incarnation uint64
 	draining    bool
 	selfListed  time.Time // when a reader last saw this host among the leaving hosts; zero when never
-	leavingNews []string  // hosts that began to leave and are not announced yet
+	leavingNews []string  // hosts that began to leave or came back, not announced yet
+	newsAt      time.Time // when news was last announced
 	hostList    platform.HostList
 	exchangeAt  time.Time
 	followUpAt  time.Time // when to announce the applied version again; zero when done
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -31,7 +31,7 @@
 	}
 	f.draining = m.draining
 	f.log.Info("draining changed", "draining", m.draining)
-	f.leavingChanged(f.timers.Now(), f.opts.Host)
+	f.leavingHeard(f.timers.Now(), f.opts.Host)
 }
 
 func (f *Fleet) isLeaving(now time.Time, host string) bool {
@@ -42,23 +42,30 @@
 	return m != nil && m.leaves(now)
 }
 
-// leavingChanged publishes a change of the host's state and passes on the word that it leaves.
-func (f *Fleet) leavingChanged(now time.Time, host string) {
+// leavingHeard publishes what was just heard of the host and passes on a change.
+func (f *Fleet) leavingHeard(now time.Time, host string) {
+	if f.leavingChanged(now, host) {
+		f.leavingNews = append(f.leavingNews, host)
+	}
+}
+
+// leavingChanged publishes the host's state and reports whether it changed.
+func (f *Fleet) leavingChanged(now time.Time, host string) bool {
 	set := *f.leaving.Load()
 	leaves := f.isLeaving(now, host)
 	if set[host] == leaves {
-		return
+		return false
 	}
 	next := maps.Clone(set)
 	if leaves {
 		next[host] = true
-		f.leavingNews = append(f.leavingNews, host)
 	} else {
 		delete(next, host)
 	}
 	f.leaving.Store(&next)
 	f.readers.stale = true
 	f.log.Info("leaving changed", "member", host, "leaving", leaves)
+	return true
 }
 
 // tickLeaving repeats what the host list says while this daemon reads it, ends what is no longer said, and passes on
@@ -70,16 +77,21 @@
 		}
 	}
 	for host := range *f.leaving.Load() {
+		// The word of a reader ends by age, on every daemon by itself.
 		f.leavingChanged(now, host)
 	}
 	f.flushNews(now)
 }
 
+// flushNews passes on the news, at most once each tick so that many hosts that leave together share the messages.
 func (f *Fleet) flushNews(now time.Time) {
-	if len(f.leavingNews) == 0 {
+	if len(f.leavingNews) == 0 || now.Sub(f.newsAt) < tickPeriod {
 		return
 	}
-	f.announceNews(now, f.leavingNews)
+	f.newsAt = now
+	for hosts := range slices.Chunk(f.leavingNews, maxNews) {
+		f.announceNews(now, hosts)
+	}
 	f.leavingNews = nil
 }
 
@@ -89,7 +101,7 @@
 	} else if m := f.members.get(host); m != nil {
 		m.listedLeaving = now
 	}
-	f.leavingChanged(now, host)
+	f.leavingHeard(now, host)
 }
 
 // leavingSample returns the hosts that leave, in random order.
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -57,10 +57,17 @@
 	c.within(goal, "own word", everywhere("host-03", true))
 	c.platform.Set(cicadacross.KeyHosts, []byte(`{"live":["host-00"],"leaving":["host-05"]}`))
 	c.within(goal, "host list", everywhere("host-05", true))
-	c.nodes[3].SetDraining(false)
+	// A host that returns as a new process must get work again as soon, not when the samples happen to name it.
+	c.stop(3)
+	c.start(3)
+	c.within(10*time.Second, "new process", c.allReady)
+	c.within(goal, "own word is taken back", everywhere("host-03", false))
+	c.nodes[4].SetDraining(true)
+	c.within(goal, "own word of another", everywhere("host-04", true))
+	c.nodes[4].SetDraining(false)
+	c.within(goal, "and its end", everywhere("host-04", false))
 	c.platform.Set(cicadacross.KeyHosts, []byte(`{"live":["host-00"],"leaving":[]}`))
 	c.within(70*time.Second, "word of the list ends", everywhere("host-05", false))
-	c.within(30*time.Second, "own word is taken back", everywhere("host-03", false))
 }
 
 // Guards against partitions that don't heal: the sides must meet on the highest version again, in both directions.
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -88,10 +88,11 @@
 	}
 }
 
-// announceNews tells some peers that hosts leave, and the hosts themselves.
+// announceNews tells some peers that hosts leave or are back, and the hosts themselves. There are at most maxNews
+// hosts.
 func (f *Fleet) announceNews(now time.Time, hosts []string) {
 	var news []*peerpb.Member
-	for _, host := range hosts[:min(len(hosts), maxNews)] {
+	for _, host := range hosts {
 		switch m := f.members.get(host); {
 		case host == f.opts.Host:
 			p := f.selfRecord(false)
@@ -108,7 +109,7 @@
 		told[m.host] = true
 		f.announce(m, news)
 	}
-	for _, host := range hosts[:min(len(hosts), maxNews)] {
+	for _, host := range hosts {
 		if m := f.members.get(host); m != nil && m.peer != "" && !told[host] && f.readers.active {
 			f.announce(m, news)
 		}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,7 @@
 
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"cicadacross"
@@ -40,6 +41,10 @@
 	// watchSlack is the time that an answer may take after the wait has ended.
 	watchSlack = 5 * time.Second
 
+	// forceQuitAfter puts off a second signal that the HTTP client's library sends to its own process. It comes 5.5 s
+	// after a SIGTERM by default and would end requests that a graceful shutdown still waits for.
+	forceQuitAfter = 100 * 365 * 24 * time.Hour
+
 	maxIdleConnections = 4
 	idleTimeout        = time.Minute
 )
@@ -50,6 +55,7 @@
 	breaker.NoBreakerFor(serviceName)
 	// The HTTP client logs every call; the daemon's log has its own lines.
 	logx.Disable()
+	proc.SetTimeToForceQuit(forceQuitAfter)
 }
 
 // Source reads the platform's service at one address. It is safe for concurrent use.
