fleet: don't count a superseded fetch as a failure

A fetch that is given up for a newer version was logged and counted as failed, and its provider was not asked again. The measurement also reports the calls to the source while all daemons start.

--- a/integration/measure/distribution/report.go
+++ b/integration/measure/distribution/report.go
@@ -17,6 +17,7 @@
 }
 
 var columns = []column{
+	{"start calls", func(r result) float64 { return r.startCalls }, 2},
 	{"median ms", func(r result) float64 { return milliseconds(r.median) }, 1},
 	{"99% ms", func(r result) float64 { return milliseconds(r.p99) }, 1},
 	{"worst ms", func(r result) float64 { return milliseconds(r.worst) }, 1},
--- a/integration/measure/distribution/trial.go
+++ b/integration/measure/distribution/trial.go
@@ -43,6 +43,7 @@
 type result struct {
 	trial         trial
 	registerBytes int
+	startCalls    float64 // calls to the source until every daemon has a configuration, for each daemon
 	samples       int
 	late          int // daemons that missed a change within its time
 	median        time.Duration
@@ -86,11 +87,12 @@
 	if _, late := r.await(ctx, clock.Now(), startTimeout); late > 0 {
 		return result{}, fmt.Errorf("%d of %d daemons have no configuration after %s", late, t.daemons, startTimeout)
 	}
+	startCalls := float64(r.platform.Counts().Calls)
 	log.Info("started", "daemons", t.daemons, "bytes", size)
 	if !sleep(ctx, t.warm) {
 		return result{}, ctx.Err()
 	}
-	out := result{trial: t, registerBytes: size}
+	out := result{trial: t, registerBytes: size, startCalls: startCalls / float64(t.daemons)}
 	if err := r.measureRest(ctx, &out); err != nil {
 		return out, err
 	}
--- a/internal/fleet/apply.go
+++ b/internal/fleet/apply.go
@@ -73,7 +73,12 @@
 	if kind, _ := failure.KindOf[Kind](d.err); kind == KindRefused {
 		f.refuse(now, d.version, d.task.from.name(), d.err.Error())
 	}
-	if w := f.fetches.wants[d.task.version]; w != nil {
+	w := f.fetches.wants[d.task.version]
+	switch {
+	case w == nil:
+	case d.task.superseded:
+		delete(w.tried, d.task.from.name())
+	default:
 		f.meter.fetchFailures.Inc(1)
 		f.log.Info("fetch failed", "version", w.version.String(), "from", d.task.from.name(), "reason", d.err.Error())
 		budget := time.Duration(0)
--- a/internal/fleet/fetch.go
+++ b/internal/fleet/fetch.go
@@ -108,6 +108,7 @@
 		if s.inFlight.version.Compare(best.version) >= 0 {
 			return
 		}
+		s.inFlight.superseded = true
 		s.inFlight.cancel()
 	}
 	best.tried[from.name()] = true
@@ -155,6 +156,8 @@
 	partial map[string][]byte
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// superseded belongs to the run goroutine: the fetch was given up for a newer version.
+	superseded bool
 }
 
 // fetchDone is the result of a fetch. On a failure it carries the parts that came in whole.
