fleet: let tests wait for the network calls of a step

Under the race detector the manual clock ran ahead of the network, so that a fetch from a healthy peer counted as stalled. State tells the calls under way, and the test clock waits for them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,6 +73,7 @@
 	exchangeAt  time.Time
 	followUpAt  time.Time // when to announce the applied version again; zero when done
 	budget      *sourceBudget
+	calls       int // network calls under way, without the watches of the source
 }
 
 // message is the result of a network call or a question, handled by the run goroutine.
@@ -179,6 +180,7 @@
 
 // begin starts a task.
 func (f *Fleet) begin(t task) {
+	f.calls++
 	f.tasks.Add(1)
 	go taskRun{fleet: f, task: t}.run()
 }
@@ -190,8 +192,16 @@
 
 func (r taskRun) run() {
 	defer r.fleet.tasks.Done()
-	if m := r.task.perform(r.fleet.ctx); m != nil {
-		r.fleet.post(m)
+	r.fleet.post(taskEnded{result: r.task.perform(r.fleet.ctx)})
+}
+
+// taskEnded carries the result of a task, or nil.
+type taskEnded struct{ result message }
+
+func (m taskEnded) handle(f *Fleet) {
+	f.calls--
+	if m.result != nil {
+		m.result.handle(f)
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -23,8 +23,10 @@
 	fleetKey = "a key for the tests of the fleet"
 	// step is the time by which a cluster moves at once, below the tick so that no tick is lost.
 	step = 100 * time.Millisecond
-	// settle lets the network calls of one step end.
-	settle = 2 * time.Millisecond
+	// settle lets answers of the platform arrive, and settleLimit bounds the wait for the network calls of one step, some
+	// of which wait for a dead peer. Without this wait a slow machine would see timeouts that no fault explains.
+	settle      = time.Millisecond
+	settleLimit = 50 * time.Millisecond
 )
 
 var downFaults = standin.Faults{Down: true}
@@ -150,12 +152,21 @@
 	for ; d > 0; d -= step {
 		c.clock.Advance(step)
 		time.Sleep(settle)
-		for _, n := range c.live() {
-			n.State()
+		for waited := settle; c.calls() > 0 && waited < settleLimit; waited += settle {
+			time.Sleep(settle)
 		}
 	}
 }
 
+// calls returns the number of network calls under way.
+func (c *cluster) calls() int {
+	sum := 0
+	for _, n := range c.live() {
+		sum += n.State().Calls
+	}
+	return sum
+}
+
 // within moves the clock until the condition holds and fails the test when it doesn't hold in time.
 func (c *cluster) within(limit time.Duration, what string, condition func() bool) {
 	c.t.Helper()
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -64,7 +64,9 @@
 	Members     int
 	Suspects    int
 	Leaving     []string
-	Counts      Counts
+	// Calls is the number of network calls under way, without the watches of the source.
+	Calls  int
+	Counts Counts
 }
 
 // Configuration returns the applied configuration, nil before the first.
@@ -183,6 +185,7 @@
 		Draining:         f.draining,
 		Members:          f.members.size() + 1,
 		Leaving:          slices.Sorted(maps.Keys(*f.leaving.Load())),
+		Calls:            f.calls,
 		Counts:           f.meter.counts(),
 	}
 	if n := len(f.history); n > 0 {
