--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,14 +67,16 @@
 	incarnation uint64
 	draining    bool
 	selfListed  time.Time // when a reader last saw this host among the leaving hosts; zero when never
-	leavingNews []string  // hosts that began to leave and are not announced yet
+	leavingNews []string  // hosts that began to leave or came back, not announced yet
+	newsAt      time.Time // when news was last announced
+	hostList    platform.HostList
+	exchangeAt  time.Time
+	followUpAt  time.Time // when to announce the applied version again; zero when done
+	budget      *sourceBudget
+	calls       int // network calls under way, without the watches of the source
 	// suspectsWaiting means that suspects are to be announced, suspectsAt is when they last were.
 	suspectsWaiting bool
 	suspectsAt      time.Time
-	hostList        platform.HostList
-	exchangeAt      time.Time
-	followUpAt      time.Time // when to announce the applied version again; zero when done
-	budget          *sourceBudget
 }
 
 // message is the result of a network call or a question, handled by the run goroutine.
@@ -182,6 +184,7 @@
 
 // begin starts a task.
 func (f *Fleet) begin(t task) {
+	f.calls++
 	f.tasks.Add(1)
 	go taskRun{fleet: f, task: t}.run()
 }
@@ -193,8 +196,16 @@
 
 func (r taskRun) run() {
 	defer r.fleet.tasks.Done()
-	if m := r.task.perform(r.fleet.ctx); m != nil {
-		r.fleet.post(m)
+	r.fleet.post(taskEnded{result: r.task.perform(r.fleet.ctx)})
+}
+
+// taskEnded carries the result of a task, or nil.
+type taskEnded struct{ result message }
+
+func (m taskEnded) handle(f *Fleet) {
+	f.calls--
+	if m.result != nil {
+		m.result.handle(f)
 	}
 }
 
