balance: find a return by absence among the candidates, test the choice

A pause in the reports isn't an absence: a service with little traffic reports seldom, and each of its targets then counted as cold again and again. The random numbers of least are an argument, so that tests give the same verdict every time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -12,7 +13,7 @@
 
 func init() {
 	kernel.Balancers.Register("least", func(opts cicadacross.BalancerOptions) cicadacross.Balancer {
-		return NewLeast(opts)
+		return NewLeast(opts, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	})
 	kernel.Balancers.Register("roundrobin", func(cicadacross.BalancerOptions) cicadacross.Balancer {
 		return &RoundRobin{}
--- a/internal/balance/least.go
+++ b/internal/balance/least.go
@@ -18,14 +18,15 @@
 	unknownLoad = 0.5
 	// drainingLoad puts a target that takes no new work behind every other one.
 	drainingLoad = 1000
-	// absence is the time without a report after which a target counts as just returned when it reports again.
-	absence = 10 * time.Second
+	// absence is the time for which a target must be missing among the candidates, while others of its service are
+	// offered, to count as just returned. A shorter gap is a change of mind about its health.
+	absence = time.Second
 	// rampTime is the time in which a target that has just returned comes to its full part of the work.
 	rampTime = 10 * time.Second
 	// rampStart is the part of the work at the beginning of the ramp. It must be above 0, or an idle service would
 	// never warm the target.
 	rampStart = 0.1
-	// forgetAfter is the age of the last report after which a host is forgotten.
+	// forgetAfter is the time without an offer or a report after which a host is forgotten.
 	forgetAfter = 10 * time.Minute
 )
 
@@ -33,12 +34,10 @@
 type Least struct {
 	zone   string
 	timers cicadacross.Timers
-	random func() float64
 
-	mu    sync.Mutex
-	hosts map[string]*evidence
-	// born is the time at which the balancer was made.
-	born   time.Time
+	mu     sync.Mutex
+	random *rand.Rand
+	hosts  map[string]*evidence
 	pruned time.Time
 }
 
@@ -49,7 +48,9 @@
 	load cicadacross.Load
 	// seen is the time of the last report; the zero time means none.
 	seen time.Time
-	// returned is the time of the first report after an absence; the zero time means that there was none.
+	// offered is the time at which the host was last a candidate.
+	offered time.Time
+	// returned is the time of the return from an absence or from draining; the zero time means that there was none.
 	returned time.Time
 	// outstanding counts this daemon's requests in progress, and since those that began after the last report.
 	outstanding int
@@ -57,15 +58,14 @@
 	reports     uint64
 }
 
-// NewLeast returns a balancer that knows no load yet.
-func NewLeast(opts cicadacross.BalancerOptions) *Least {
+// NewLeast returns a balancer that knows no load yet. It alone uses the random numbers, which mustn't be nil.
+func NewLeast(opts cicadacross.BalancerOptions, random *rand.Rand) *Least {
 	now := opts.Timers.Now()
 	return &Least{
 		zone:   opts.AvailabilityZone,
 		timers: opts.Timers,
-		random: rand.Float64,
+		random: random,
 		hosts:  make(map[string]*evidence),
-		born:   now,
 		pruned: now,
 	}
 }
@@ -79,6 +79,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.timers.Now()
+	l.prune(now)
+	l.noteOffered(now, candidates)
 	home, away := l.split(now, candidates)
 	if len(home) == 0 {
 		best, _ := l.lessLoaded(now, away)
@@ -100,7 +102,7 @@
 	var cold []cicadacross.Target
 	for _, c := range candidates {
 		switch {
-		case l.hosts[c.Host()].warmth(now) < 1 && l.random() >= l.hosts[c.Host()].warmth(now):
+		case l.random.Float64() >= l.hosts[c.Host()].warmth(now):
 			cold = append(cold, c)
 		case c.AvailabilityZone() == l.zone:
 			home = append(home, c)
@@ -116,13 +118,13 @@
 
 // lessLoaded returns the less loaded one of two random targets and its load. The list isn't empty.
 func (l *Least) lessLoaded(now time.Time, among []cicadacross.Target) (cicadacross.Target, float64) {
-	i := l.index(len(among))
+	i := l.random.IntN(len(among))
 	first := among[i]
 	firstLoad := l.hosts[first.Host()].score(now, first)
 	if len(among) == 1 {
 		return first, firstLoad
 	}
-	j := l.index(len(among) - 1)
+	j := l.random.IntN(len(among) - 1)
 	if j >= i {
 		j++
 	}
@@ -134,8 +136,6 @@
 	return first, firstLoad
 }
 
-func (l *Least) index(n int) int { return min(int(l.random()*float64(n)), n-1) }
-
 // Begin counts a request that this daemon sends to the host. The returned function must be called at its end; further
 // calls have no effect.
 func (l *Least) Begin(host string) (end func()) {
@@ -161,23 +161,31 @@
 	defer l.mu.Unlock()
 	now := l.timers.Now()
 	e := l.evidenceOf(host)
-	if l.isReturn(now, e) {
+	if e.load.Draining && !load.Draining {
 		e.returned = now
 	}
 	e.load = load
 	e.seen = now
 	e.since = 0
 	e.reports++
-	l.prune(now)
 }
 
-// isReturn reports whether a report that comes now ends an absence. A daemon that has just started has seen no host yet
-// and takes none as returned.
-func (l *Least) isReturn(now time.Time, e *evidence) bool {
-	if e.seen.IsZero() {
-		return now.Sub(l.born) > absence
+// noteOffered finds the candidates that have just returned: those that were missing while others were offered. When
+// all are new, the daemon or the service is, and none counts as returned.
+func (l *Least) noteOffered(now time.Time, candidates []cicadacross.Target) {
+	var latest time.Time
+	for _, c := range candidates {
+		if offered := l.evidenceOf(c.Host()).offered; offered.After(latest) {
+			latest = offered
+		}
+	}
+	for _, c := range candidates {
+		e := l.evidenceOf(c.Host())
+		if !latest.IsZero() && latest.Sub(e.offered) > absence {
+			e.returned = now
+		}
+		e.offered = now
 	}
-	return now.Sub(e.seen) > absence
 }
 
 func (l *Least) evidenceOf(host string) *evidence {
@@ -189,25 +197,22 @@
 	return e
 }
 
-// prune forgets hosts without reports, so that replaced hosts don't fill the memory.
+// prune forgets hosts that are neither offered nor reported, so that replaced hosts don't fill the memory.
 func (l *Least) prune(now time.Time) {
 	if now.Sub(l.pruned) < forgetAfter {
 		return
 	}
 	l.pruned = now
 	for host, e := range l.hosts {
-		if e.outstanding == 0 && now.Sub(e.seen) > forgetAfter {
+		if e.outstanding == 0 && now.Sub(e.seen) > forgetAfter && now.Sub(e.offered) > forgetAfter {
 			delete(l.hosts, host)
 		}
 	}
 }
 
-// score returns the load of the target as part of its slots. The evidence may be nil.
+// score returns the load of the target as part of its slots.
 func (e *evidence) score(now time.Time, target cicadacross.Target) float64 {
 	slots := float64(max(target.Slots(), 1))
-	if e == nil {
-		return unknownLoad
-	}
 	own := float64(e.outstanding) / slots
 	if e.seen.IsZero() || now.Sub(e.seen) > maxEvidenceAge {
 		return max(unknownLoad, own)
@@ -222,9 +227,9 @@
 	return load
 }
 
-// warmth returns the part of its share of work that the host gets, from rampStart to 1. The evidence may be nil.
+// warmth returns the part of its share of work that the host gets, from rampStart to 1.
 func (e *evidence) warmth(now time.Time) float64 {
-	if e == nil || e.returned.IsZero() {
+	if e.returned.IsZero() {
 		return 1
 	}
 	passed := now.Sub(e.returned)
