--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -377,3 +377,34 @@
 		assert.Equal(t, outcome(answer), "done", "%v", answer)
 	}
 }
+
+// Guards against keyed requests that stay refused after ordinary events in a healthy fleet: a change of the register and
+// a restart of one daemon.
+func TestKeysAreServedSoonAfterChangeAndRestart(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{HostsPerZone: 3})
+	settle()
+	f.PublishWithout(2, "zone-b-3")
+	harness.Eventually(t, convergence, "version 2 everywhere", atVersion(f, 2))
+	harness.Eventually(t, convergence, "keys are served after the change", func() bool { return keysServed(t, f) })
+	f.Publish(3, "")
+	harness.Eventually(t, convergence, "version 3 everywhere", atVersion(f, 3))
+	harness.Eventually(t, convergence, "keys are served after the host is back", func() bool { return keysServed(t, f) })
+	restarted := f.Host("zone-a-2")
+	restarted.Daemon.Kill()
+	restarted.StartDaemon()
+	harness.Eventually(t, recovery, "keys are served after the restart", func() bool { return keysServed(t, f) })
+}
+
+// keysServed reports whether twelve new keys are all served.
+func keysServed(t *testing.T, f *harness.Fleet) bool {
+	t.Helper()
+	for range 12 {
+		answer, err := f.Host("zone-a-1").Request(context.Background(), "POST", "/confirm", "lot", keyed(newKey(t)))
+		assert.NilError(t, err)
+		if outcome(answer) != "done" {
+			return false
+		}
+	}
+	return true
+}
