--- a/internal/command/command_test.go
+++ b/cmd/cicadacross/internal/command/command_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
-	"cicadacross/internal/command"
+	"cicadacross/cmd/cicadacross/internal/command"
 )
 
 const examples = "../../examples/"
--- a/cmd/cicadacross/main.go
+++ b/cmd/cicadacross/main.go
@@ -7,7 +7,7 @@
 	"os/signal"
 	"syscall"
 
-	"cicadacross/internal/command"
+	"cicadacross/cmd/cicadacross/internal/command"
 )
 
 func main() {
--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -20,7 +20,7 @@
 
 	"cicadacross"
 	"cicadacross/integration/harness"
-	"cicadacross/internal/command"
+	"cicadacross/cmd/cicadacross/internal/command"
 	"cicadacross/internal/operator"
 	"cicadacross/internal/register"
 )
--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -378,8 +378,8 @@
 	}
 }
 
-// Guards against keyed requests that stay refused after ordinary events in a healthy fleet: a change of the register and
-// a restart of one daemon.
+// Guards against keyed requests that stay refused after ordinary events in a healthy fleet: a change of the register
+// and a restart of one daemon.
 func TestKeysAreServedSoonAfterChangeAndRestart(t *testing.T) {
 	t.Parallel()
 	f := harness.NewFleet(t, harness.Options{HostsPerZone: 3})
