--- a/cmd/cicadacross/internal/command/command_test.go
+++ b/cmd/cicadacross/internal/command/command_test.go
@@ -13,7 +13,7 @@
 	"cicadacross/cmd/cicadacross/internal/command"
 )
 
-const examples = "../../examples/"
+const examples = "../../../../examples/"
 
 // run runs the command and returns its exit code, its answer and its errors.
 func run(t *testing.T, args ...string) (code int, out, errs string) {
--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -19,8 +19,8 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"cicadacross"
-	"cicadacross/integration/harness"
 	"cicadacross/cmd/cicadacross/internal/command"
+	"cicadacross/integration/harness"
 	"cicadacross/internal/operator"
 	"cicadacross/internal/register"
 )
