--- a/cmd/cicadacross/internal/command/command_test.go
+++ b/cmd/cicadacross/command/command_test.go
@@ -10,10 +10,10 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
-	"cicadacross/cmd/cicadacross/internal/command"
+	"cicadacross/cmd/cicadacross/command"
 )
 
-const examples = "../../../../examples/"
+const examples = "../../../examples/"
 
 // run runs the command and returns its exit code, its answer and its errors.
 func run(t *testing.T, args ...string) (code int, out, errs string) {
--- a/cmd/cicadacross/internal/command/status_test.go
+++ b/cmd/cicadacross/command/status_test.go
@@ -11,7 +11,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"cicadacross"
-	"cicadacross/cmd/cicadacross/internal/command"
+	"cicadacross/cmd/cicadacross/command"
 	"cicadacross/internal/operator"
 	"cicadacross/internal/timer"
 )
--- a/cmd/cicadacross/main.go
+++ b/cmd/cicadacross/main.go
@@ -7,7 +7,7 @@
 	"os/signal"
 	"syscall"
 
-	"cicadacross/cmd/cicadacross/internal/command"
+	"cicadacross/cmd/cicadacross/command"
 )
 
 func main() {
--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -19,7 +19,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"cicadacross"
-	"cicadacross/cmd/cicadacross/internal/command"
+	"cicadacross/cmd/cicadacross/command"
 	"cicadacross/integration/harness"
 	"cicadacross/internal/operator"
 	"cicadacross/internal/register"
