admission: share the excess by start tags, less certainty in overload of all kinds

Change: the place in the sharing is a start tag; a kind clearly above its usual rate keeps two fifths of it for certain and shares the rest by worth.

--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -18,6 +18,12 @@
 	allowanceDepth = time.Second
 	// burstRequests is the smallest unused allowance, in requests, so that rare kinds pass at all.
 	burstRequests = 3
+	// A kind that has used up its allowance, and whose trend is above floodTrend times its usual rate, has floodShare of
+	// the usual rate for certain. Alone in excess it gets the rest all the same; when all kinds are in excess, more goes
+	// by worth. As far as the usual rate isn't known, the fair start is kept whole.
+	floodTrend = 2
+	floodShare = 0.4
+	trendPart  = 6
 	// recentAveraging is the time over which the present rate of a kind is averaged: short enough to see a flood before it
 	// has filled the slots. Two service times are added, so that it holds some requests of a slow kind.
 	recentAveraging = 500 * time.Millisecond
@@ -46,6 +52,8 @@
 	// learned is the average of the offered slots, weight the part of the averaging time that it covers, 0 to 1.
 	learned float64
 	weight  float64
+	// trend is the average of the offered slots over a sixth of the averaging time and two service times.
+	trend float64
 	// recent is the average of the offered slots over recentAveraging.
 	recent float64
 	// usual is the usual rate in slots, a mix of learned and the fair start.
@@ -55,7 +63,7 @@
 
 	// allowance is the slot time that the kind may begin within its usual rate.
 	allowance time.Duration
-	// served is the excess slot time received, divided by the worth; the lowest is served first.
+	// served is the place in the sharing of the excess: it grows by the slot time received, divided by the worth.
 	served float64
 }
 
@@ -116,7 +124,11 @@
 
 // refill adds the allowance of the time that passed.
 func (k *kind) refill(passed time.Duration) {
-	k.allowance = min(k.allowance+time.Duration(k.granted*float64(passed)), k.depth())
+	rate := k.granted
+	if k.flooding() && k.trend > floodTrend*k.usual {
+		rate *= 1 - (1-floodShare)*k.weight
+	}
+	k.allowance = min(k.allowance+time.Duration(rate*float64(passed)), k.depth())
 }
 
 // depth returns the largest unused allowance.
@@ -130,6 +142,7 @@
 	rate := float64(k.offered) / float64(passed)
 	k.offered = 0
 	k.recent += decay(passed, recentAveraging+2*k.service) * (rate - k.recent)
+	k.trend += decay(passed, averaging/trendPart+2*k.service) * (rate - k.trend)
 	if overloaded {
 		return
 	}
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -59,6 +59,8 @@
 	// leastUrgent is the highest urgency number that is configured or was seen.
 	leastUrgent int
 
+	// turnNow is the place of the last excess request that began.
+	turnNow float64
 	// short reports that the target has fewer slots than the usual rates of all kinds.
 	short bool
 	// slowHeld is the average of the slots held by slow kinds.
@@ -137,7 +139,10 @@
 		return a.within()
 	}
 	if !a.within() {
-		return a.served < b.served
+		if s.turn(a) != s.turn(b) {
+			return s.turn(a) < s.turn(b)
+		}
+		return a.rank.MoreUrgent(b.rank)
 	}
 	if s.slow(a) != s.slow(b) {
 		return s.slow(b)
@@ -159,7 +164,8 @@
 	t.charge = k.expected()
 	t.excess = !k.within()
 	if t.excess {
-		s.catchUp(k)
+		s.turnNow = s.turn(k)
+		k.served = s.turnNow
 	}
 	s.charge(t, t.charge)
 	k.inProgress++
@@ -175,16 +181,9 @@
 	t.kind.allowance -= amount
 }
 
-// catchUp keeps a kind that had no excess for a while from claiming that time now.
-func (s *share) catchUp(k *kind) {
-	lowest := -1.0
-	for _, other := range s.order {
-		if other != k && other.waiting() > 0 && !other.within() && (lowest < 0 || other.served < lowest) {
-			lowest = other.served
-		}
-	}
-	k.served = max(k.served, lowest)
-}
+// turn returns the place of the kind's next request in the sharing of the excess; the lowest is served first. A kind
+// that had no excess for a while can't claim that time now.
+func (s *share) turn(k *kind) float64 { return max(k.served, s.turnNow) }
 
 // dropLate moves requests that can't be answered in time behind the others, and refuses those that can't be answered
 // before their deadline. Requests above the usual rate are refused in both cases.
