fleet: ask a reader again soon when it doesn't answer

A successor hears a reader every 5 s at most and takes over after 6 s, so that one lost answer on a busy machine can make a third host read. The patience now has its jitter from the start too.

--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -18,6 +18,8 @@
 	// successorPlaces are the places behind the readers whose hosts ask a reader every other time, so that they notice
 	// the loss of the readers without waiting for the word to come around.
 	successorPlaces = 4
+	// askRetry is the delay after a reader that was asked didn't answer.
+	askRetry = 500 * time.Millisecond
 )
 
 // exchangeTask exchanges with one peer.
@@ -27,6 +29,7 @@
 	address string
 	request *peerpb.ExchangeRequest
 	started time.Time
+	ask     bool // a reader is asked whether it reads
 }
 
 // exchangeDone is the result of an exchange that this daemon began.
@@ -59,6 +62,9 @@
 	now := f.timers.Now()
 	if d.err != nil {
 		f.meter.exchangeFailures.Inc(1)
+		if d.task.ask {
+			f.askAgain(now)
+		}
 		if m := f.members.get(d.task.host); m != nil {
 			m.failures++
 			if m.failures == suspectAfter {
@@ -76,27 +82,41 @@
 	f.exchangeSucceeded(now, d.task, d.word.version)
 }
 
+// askAgain brings the next question to a reader forward. One lost answer would otherwise use up the patience of the
+// first successor.
+func (f *Fleet) askAgain(now time.Time) {
+	f.readers.askReader = false
+	if soon := now.Add(askRetry); soon.Before(f.exchangeAt) {
+		f.exchangeAt = soon
+	}
+}
+
 // exchangeWith begins an exchange with a member.
 func (f *Fleet) exchangeWith(now time.Time, m *member) {
 	f.beginExchange(now, m.host, m.peer, m.version)
 }
 
 func (f *Fleet) beginExchange(now time.Time, host, address string, peerVersion cicadacross.Version) {
-	f.beginExchangeWithSample(now, host, address, peerVersion, sampleSize)
+	full := !f.compact(peerVersion)
+	f.begin(f.newExchange(now, host, address, full, sampleSize))
 }
 
-func (f *Fleet) beginExchangeWithSample(
-	now time.Time, host, address string, peerVersion cicadacross.Version, sampleSize int,
-) {
-	full := !f.compact(peerVersion)
+// askReader begins an exchange without a sample of the members.
+func (f *Fleet) askReader(now time.Time, m *member) {
+	t := f.newExchange(now, m.host, m.peer, !f.compact(m.version), 0)
+	t.ask = true
+	f.begin(t)
+}
+
+func (f *Fleet) newExchange(now time.Time, host, address string, full bool, size int) *exchangeTask {
 	request := &peerpb.ExchangeRequest{
 		Self:     f.selfRecord(full),
-		Members:  f.sample(now, full, host, sampleSize),
+		Members:  f.sample(now, full, host, size),
 		Readers:  f.readerRecords(now, host),
 		Suspects: encodeSuspects(f.opts.Quarantine),
 	}
 	request.SourceAgeMs = encodeOptionalAge(now, f.readers.sourceHeard)
-	f.begin(&exchangeTask{fleet: f, host: host, address: address, request: request, started: now})
+	return &exchangeTask{fleet: f, host: host, address: address, request: request, started: now}
 }
 
 // tickExchange begins the periodic exchange.
@@ -117,7 +137,7 @@
 	switch {
 	case m == nil:
 	case ask:
-		f.beginExchangeWithSample(now, m.host, m.peer, m.version, 0)
+		f.askReader(now, m)
 	default:
 		f.exchangeWith(now, m)
 	}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -52,9 +52,13 @@
 }
 
 func newReadership(now time.Time) readership {
-	return readership{facts: make(map[string]readerFact), order: make(map[string]int), epoch: now, stale: true}
+	return readership{
+		facts: make(map[string]readerFact), order: make(map[string]int), epoch: now, stale: true, jitter: takeoverJitter(),
+	}
 }
 
+func takeoverJitter() time.Duration { return time.Duration(rand.Int64N(int64(takeoverStep))) }
+
 // computeOrder orders the hosts of this availability zone by rendezvous hashing.
 func (f *Fleet) computeOrder() {
 	type placed struct {
@@ -185,7 +189,7 @@
 	r.watches = nil
 	r.active = false
 	f.hostList = platform.HostList{}
-	r.jitter = time.Duration(rand.Int64N(int64(takeoverStep)))
+	r.jitter = takeoverJitter()
 	delete(r.facts, f.opts.Host)
 }
 
