fleet: replace watches of the source that have gone silent

A watch is silent for 30 s when all is well, so that a connection that no longer carries anything held a change back until the watch's own time limit. A reader now reads the manifest every 10 s on another connection and watches again when the pending watch hasn't told what it found. The stand-in can let held watches go silent.

--- a/internal/fleet/distribution_test.go
+++ b/internal/fleet/distribution_test.go
@@ -169,6 +169,23 @@
 	})
 }
 
+// Guards against changes that wait for the end of watches whose connections have gone silent.
+func TestSilentWatchesAreReplaced(t *testing.T) {
+	c := newCluster(t, 4)
+	c.publish(c.publication(1, ""))
+	c.startAll()
+	c.within(10*time.Second, "ready", c.allReady)
+	c.advance(3 * time.Second)
+	c.platform.Mute()
+	second := c.publication(2, "")
+	c.publish(second)
+	c.within(13*time.Second, "version by a check", c.follows(second.Version()))
+	c.advance(14 * time.Second)
+	third := c.publication(3, "")
+	c.publish(third)
+	c.within(3*time.Second, "version by the new watches", c.follows(third.Version()))
+}
+
 // Guards against calls to a dead platform that grow with the fleet.
 func TestSourceOutageCostsBoundedCalls(t *testing.T) {
 	c := newCluster(t, 12)
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cicadacross"
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/platform"
 )
@@ -24,6 +25,11 @@
 	maxTrying = 4
 	// tryingAge is how long the word that a host reads counts. Hosts far behind in the order hear it late.
 	tryingAge = 20 * time.Second
+	// checkPeriod is the time between two checks of a pending watch by a read on another connection. A watch is silent
+	// for 30 s when all is well, so that a connection that has gone silent wouldn't show before.
+	checkPeriod = 10 * time.Second
+	// checkGrace is the time that the watch has to tell what the check found.
+	checkGrace = time.Second
 	// readerForget drops what is known of a reader that isn't heard of.
 	readerForget = time.Minute
 	// maxFacts bounds the readers that are remembered.
@@ -49,6 +55,9 @@
 	watches     []*sourceWatch
 	askReader   bool // the next exchange is with a reader
 	lastError   string
+	checkAt     time.Time            // when to check the pending watch
+	expected    cicadacross.Revision // what the check found and the watch hasn't told; 0 when they agree
+	expectedAt  time.Time
 }
 
 func newReadership(now time.Time) readership {
@@ -123,9 +132,41 @@
 		f.log.Info("stops reading the source", "place", r.place)
 		f.stopReading()
 	}
+	f.checkWatch(now)
 	f.confirmOwn(now)
 }
 
+// checkWatch reads the manifest from time to time, and watches again when the watch hasn't told of a change.
+func (f *Fleet) checkWatch(now time.Time) {
+	r := &f.readers
+	if !r.active {
+		return
+	}
+	if r.expected != 0 && now.Sub(r.expectedAt) > checkGrace {
+		f.log.Info("a watch of the source has gone silent")
+		f.stopReading()
+		f.startReading(now)
+		return
+	}
+	if !now.Before(r.checkAt) {
+		r.checkAt = now.Add(jittered(checkPeriod))
+		f.begin(probeTask{fleet: f, check: true})
+	}
+}
+
+// checked compares the result of a check with what the watch has told.
+func (r *readership) checked(now time.Time, heard bool, revision cicadacross.Revision) {
+	for _, w := range r.watches {
+		if w.key != watchedKeys[0] {
+			continue
+		}
+		w.working = heard
+		if heard && w.revision != 0 && w.revision != revision {
+			r.expected, r.expectedAt = revision, now
+		}
+	}
+}
+
 // shouldRead decides whether this host reads the source.
 func (f *Fleet) shouldRead(now time.Time) bool {
 	r := &f.readers
@@ -159,6 +200,7 @@
 	r := &f.readers
 	f.log.Info("reads the source", "place", r.place, "policy", string(f.opts.Readers))
 	r.active = true
+	r.checkAt, r.expected = now.Add(jittered(checkPeriod)), 0
 	for _, key := range watchedKeys {
 		w := newSourceWatch(f, key)
 		r.watches = append(r.watches, w)
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -74,8 +74,10 @@
 	key    string
 	ctx    context.Context
 	cancel context.CancelFunc
-	// working belongs to the run goroutine: the last call succeeded, so the pending one counts as a confirmation.
-	working bool
+	// The rest belongs to the run goroutine. working says that the last call succeeded, so that the pending one counts as
+	// a confirmation; revision is that of the last answer.
+	working  bool
+	revision cicadacross.Revision
 }
 
 func newSourceWatch(f *Fleet, key string) *sourceWatch {
@@ -89,8 +91,11 @@
 	key    string
 	err    error
 	absent bool
-	value  *sourceManifest
-	hosts  *platform.HostList
+	// check says that the answer is to a check of a pending watch.
+	check    bool
+	revision cicadacross.Revision
+	value    *sourceManifest
+	hosts    *platform.HostList
 }
 
 // sourceManifest is a manifest as the source gave it.
@@ -140,7 +145,7 @@
 
 // newSourceAnswer decodes a value outside the run goroutine.
 func newSourceAnswer(key string, value cicadacross.Value, err error) sourceAnswer {
-	answer := sourceAnswer{key: key, err: err}
+	answer := sourceAnswer{key: key, err: err, revision: value.Revision()}
 	if err != nil {
 		kind, _ := failure.KindOf[platform.Kind](err)
 		answer.absent = kind == platform.KindNotFound
@@ -167,13 +172,19 @@
 	now := f.timers.Now()
 	heard := a.err == nil || a.absent
 	if a.watch != nil {
-		a.watch.working = heard
+		a.watch.working, a.watch.revision = heard, a.revision
+		if a.key == cicadacross.KeyManifest {
+			f.readers.expected = 0
+		}
+	}
+	if a.check {
+		f.readers.checked(now, heard, a.revision)
 	}
 	if !heard {
 		f.readers.lastError = a.err.Error()
 		f.meter.sourceFailures.Inc(1)
 		f.log.V(1).Info("source failed", "key", a.key, "reason", a.err.Error())
-		if a.watch == nil {
+		if a.watch == nil && !a.check {
 			f.sourceProbeFailed(now)
 		}
 		return
@@ -189,7 +200,7 @@
 		f.takeSourceManifest(now, a.value)
 	}
 	switch {
-	case a.watch != nil:
+	case a.watch != nil || a.check:
 	case a.absent && f.cold.phase == phaseSeeking:
 		f.sourceProbeFailed(now)
 	default:
@@ -215,13 +226,18 @@
 	f.wantFromSource(now, version, read.data)
 }
 
-// probeTask reads the manifest once.
-type probeTask struct{ fleet *Fleet }
+// probeTask reads the manifest once, for a daemon that starts or to check a pending watch.
+type probeTask struct {
+	fleet *Fleet
+	check bool
+}
 
 func (t probeTask) perform(ctx context.Context) message {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	t.fleet.meter.sourceCalls.Inc(1)
 	value, err := t.fleet.opts.Source.Get(ctx, cicadacross.KeyManifest)
-	return newSourceAnswer(cicadacross.KeyManifest, value, err)
+	answer := newSourceAnswer(cicadacross.KeyManifest, value, err)
+	answer.check = t.check
+	return answer
 }
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -31,6 +31,11 @@
 	return c.send(ctx, http.MethodPost, "freeze", nil, nil)
 }
 
+// Mute lets the watches that are held now never answer.
+func (c *Control) Mute(ctx context.Context) error {
+	return c.send(ctx, http.MethodPost, "mute", nil, nil)
+}
+
 // Counts returns the calls that the server has seen.
 func (c *Control) Counts(ctx context.Context) (Counts, error) {
 	var counts Counts
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -25,6 +25,7 @@
 //	POST   /control/publish       sets several values in one step; JSON object of key to base64 data
 //	POST   /control/faults        replaces the faults; JSON of Faults
 //	POST   /control/freeze        keeps the present state for the fault "stale"
+//	POST   /control/mute          lets the watches that are held now never answer
 //	GET    /control/counts        answers with JSON of Counts
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
@@ -35,6 +36,7 @@
 	mux.HandleFunc("POST /control/publish", s.controlPublish)
 	mux.HandleFunc("POST /control/faults", s.controlFaults)
 	mux.HandleFunc("POST /control/freeze", s.controlFreeze)
+	mux.HandleFunc("POST /control/mute", s.controlMute)
 	mux.HandleFunc("GET /control/counts", s.controlCounts)
 	return mux
 }
@@ -132,6 +134,8 @@
 
 func (s *Server) controlFreeze(http.ResponseWriter, *http.Request) { s.Freeze() }
 
+func (s *Server) controlMute(http.ResponseWriter, *http.Request) { s.Mute() }
+
 func (s *Server) controlCounts(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s.Counts())
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -65,6 +65,7 @@
 	changed  chan struct{} // closed and replaced on each change of values or faults
 	faults   Faults
 	counts   Counts
+	muted    int // grows with each Mute; a watch that began before never answers
 }
 
 // New returns a server that doesn't listen yet.
@@ -154,6 +155,13 @@
 	s.wake()
 }
 
+// Mute lets the watches that are held now never answer, as on connections that have gone silent. New calls work.
+func (s *Server) Mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted++
+}
+
 // Counts returns the calls so far.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
@@ -174,6 +182,7 @@
 	changed <-chan struct{}
 	faults  Faults
 	place   uint64
+	muted   int
 }
 
 func (s *Server) look(key string) view {
@@ -184,7 +193,7 @@
 		values = s.frozen
 	}
 	value, found := values[key]
-	return view{value: value, found: found, changed: s.changed, faults: s.faults, place: s.counts.Calls}
+	return view{value: value, found: found, changed: s.changed, faults: s.faults, place: s.counts.Calls, muted: s.muted}
 }
 
 // await holds a watch until the value is newer than after, the wait ends or the caller goes away.
@@ -193,15 +202,22 @@
 	defer s.countWaiting(-1)
 	end := s.opts.Timers.After(s.opts.WatchWait)
 	defer end.Stop()
+	began := s.look(key).muted
 	for {
 		v := s.look(key)
+		if v.muted != began {
+			<-ctx.Done()
+			return v
+		}
 		if v.faults.Down || v.found && v.value.Revision() > after {
 			return v
 		}
 		select {
 		case <-v.changed:
 		case <-end.C():
-			return s.look(key)
+			if v = s.look(key); v.muted == began {
+				return v
+			}
 		case <-ctx.Done():
 			return v
 		}
