cicadacrossd: ignore the signals on which go-zero writes profiles

Cause: importing go-zero's rest installs handlers that write seven files on SIGUSR1 and SIGUSR2; hosts have no disk and the system writes nothing there. Before: TestDaemonWritesNoFileOnSignals found 7 files.

--- a/cmd/cicadacrossd/main.go
+++ b/cmd/cicadacrossd/main.go
@@ -43,6 +43,8 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
+	// go-zero writes profiles to the file system on these signals; a daemon writes nothing there.
+	signal.Ignore(syscall.SIGUSR1, syscall.SIGUSR2)
 	<-ctx.Done()
 	return d.Shutdown(context.Background())
 }
--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -325,3 +327,18 @@
 	assert.Equal(t, result.Code, command.ExitBad, "%v", result)
 	assert.Assert(t, is.Contains(result.Err, "step 1 failed"))
 }
+
+// Guards against a daemon that writes to its host's file system, as go-zero does on two signals, or that ends on them.
+func TestDaemonWritesNoFileOnSignals(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 1})
+	h := f.Host("zone-a-1")
+	for _, s := range []syscall.Signal{syscall.SIGUSR1, syscall.SIGUSR2} {
+		assert.NilError(t, syscall.Kill(h.Daemon.PID(), s))
+	}
+	time.Sleep(time.Second)
+	written, err := filepath.Glob(filepath.Join(os.TempDir(), fmt.Sprintf("cicadacrossd-%d-*", h.Daemon.PID())))
+	assert.NilError(t, err)
+	assert.Equal(t, len(written), 0, "%v", written)
+	requestAll(t, f)
+}
