ingress: an upstream that refuses connections doesn't use up the retry budget

Cause: after an upstream died, its owner refuses requests at once, and each refusal took a retry from the budget until requests that other targets could serve were refused as not run. Seen in TestCrashingRequestIsConfined once.

--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -362,15 +362,18 @@
 }
 
 // Guards against repeatable requests that are refused, though other targets could serve them, because hosts that leave
-// or die use up the attempts or the retry budget.
+// or die, or whose upstreams are dead, use up the attempts or the retry budget.
 func TestLeavingAndDeadHostsCostNoRequests(t *testing.T) {
 	t.Parallel()
 	f := harness.NewFleet(t, harness.Options{Zones: 2, HostsPerZone: 5})
 	requestAll(t, f)
 	f.Host("zone-a-2").SetBehavior(map[string]any{"draining": true})
-	for _, name := range []string{"zone-a-3", "zone-a-4", "zone-a-5", "zone-b-5"} {
+	for _, name := range []string{"zone-a-3", "zone-a-4", "zone-b-5"} {
 		f.Host(name).Daemon.Kill()
 	}
+	for _, name := range []string{"zone-a-1", "zone-a-5", "zone-b-1", "zone-b-2", "zone-b-3"} {
+		f.Host(name).Upstream.Kill()
+	}
 	for range 40 {
 		answer, err := f.Host("zone-a-1").Request(context.Background(), "GET", "/", "", nil)
 		assert.NilError(t, err)
--- a/internal/ingress/refused.go
+++ b/internal/ingress/refused.go
@@ -92,5 +92,9 @@
 // free reports whether the attempt cost its target no work. Such attempts count neither towards the most that are made
 // nor towards the retry budget: each ends at once, and a target that failed one isn't tried again.
 func (f *refused) free() bool {
-	return f.reason == reasonUnreachable || f.reason == relay.RefusalDraining
+	switch f.reason {
+	case reasonUnreachable, relay.RefusalDraining, relay.RefusalUpstream:
+		return true
+	}
+	return false
 }
