ingress: never deny an earlier run of a key that the owner wasn't asked about

Cause: only refusals with status 503 carried X-Mesh-Earlier, so that a further send whose body arrived too late got 400 and not-run although the first send had run. TestRefusalOfAFurtherSendDoesNotDenyTheFirst failed before and passes after.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -61,7 +61,7 @@
 	}
 	s.opts.Decisions.Record(q.id, "refuse", "side", "ingress", "status", fault.status,
 		"outcome", fault.outcome.String(), "reason", fault.reason, "text", fault.text)
-	if fault.status == http.StatusServiceUnavailable && !fault.byOwner {
+	if !fault.byOwner {
 		// Only the owner of a key knows whether an earlier send ran.
 		fault.earlierUnknown = q.http.Header.Get(cicadacross.HeaderIdempotencyKey) != "" && !q.route.Repeatable()
 	}
--- a/internal/ingress/owner_test.go
+++ b/internal/ingress/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -97,3 +98,17 @@
 	assert.Equal(t, f.call(0, "GET", "/pages/innocent", nil).outcome(), "done")
 	assert.Equal(t, next.Executions().ByPath["/pages/crash"], 0)
 }
+
+// Guards against a further send of a key that is refused before its owner is asked, and whose answer then denies the
+// run of the first send: here the body doesn't arrive in time.
+func TestRefusalOfAFurtherSendDoesNotDenyTheFirst(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	got := f.call(0, "POST", "/publish/a", strings.NewReader("x"), "Idempotency-Key: k")
+	assert.Equal(t, got.outcome(), "done", got.body)
+	body, late := io.Pipe()
+	defer func() { _ = late.Close() }()
+	got = f.call(0, "POST", "/publish/a", body, "Idempotency-Key: k", "X-Mesh-Timeout: 50")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.outcome(), "not-run")
+	assert.Equal(t, got.header.Get("X-Mesh-Earlier"), "unknown", "%d %s", got.status, got.body)
+}
