integration/measure/requests: report what each target ran

Shares of a kind hide a balancer that sends it to few targets. The client's bound on open requests now holds for each kind, since a flood under the baselines used it up and held back the other kinds.

--- a/integration/measure/requests/added.go
+++ b/integration/measure/requests/added.go
@@ -16,7 +16,9 @@
 // addedTrial measures the time that the daemons add to a call. One daemon takes the calls, as its callers on one host
 // would send them; as many calls go straight to the upstreams of the service, in the same run.
 type addedTrial struct {
-	deployment  *deployment
+	deployment *deployment
+	// entry is the host whose daemon takes the calls; empty means the first.
+	entry       string
 	rates       []float64
 	repetitions int
 	length      time.Duration
@@ -26,6 +28,7 @@
 // addedResult holds the figures for one rate; the slices have one value for each repetition, in milliseconds.
 type addedResult struct {
 	Deployment string    `json:"deployment"`
+	Entry      string    `json:"entry"`
 	Rate       float64   `json:"calls_per_second"`
 	Calls      int       `json:"calls"`
 	Failed     int       `json:"failed"`
@@ -80,13 +83,18 @@
 // repeat sends calls at the rate both ways, interleaved, and adds the figures.
 func (t addedTrial) repeat(ctx context.Context, f *fleet, out *addedResult, seed uint64) error {
 	k := t.deployment.kinds[0]
+	entry, err := t.entryHost(f)
+	if err != nil {
+		return err
+	}
+	out.Entry = entry.target.Host()
 	var upstreams []string
 	for _, h := range f.hosts {
 		if h.target.Service() == k.route.Service() {
 			upstreams = append(upstreams, h.target.Upstream())
 		}
 	}
-	through := newDriver([]string{f.hosts[0].target.Caller()}, seed)
+	through := newDriver([]string{entry.target.Caller()}, seed)
 	direct := newDriver(upstreams, seed)
 	direct.direct = true
 	list := arrivals([]*kind{k}, []phase{{t.length, []float64{2 * out.Rate}}}, seed)
@@ -121,6 +129,16 @@
 	return ctx.Err()
 }
 
+// entryHost returns the host whose daemon takes the calls.
+func (t addedTrial) entryHost(f *fleet) (*host, error) {
+	for _, h := range f.hosts {
+		if t.entry == "" || h.target.Host() == t.entry {
+			return h, nil
+		}
+	}
+	return nil, fmt.Errorf("%s has no host %q", t.deployment.name, t.entry)
+}
+
 func (r *addedResult) add(through, direct []sample) {
 	t, d := r.histogram(through), r.histogram(direct)
 	r.Calls += len(through)
@@ -169,11 +187,11 @@
 	}
 	b.WriteString("\ntime added to a call, ms: median (lowest to highest) of the repetitions\n")
 	table := tabwriter.NewWriter(b, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(table, "deployment\tcalls/s\tcalls\tfailed\tadded p50\tadded p99\tdirect p50\tdirect p99\t"+
+	_, _ = fmt.Fprintln(table, "deployment\tentry\tcalls/s\tcalls\tfailed\tadded p50\tadded p99\tdirect p50\tdirect p99\t"+
 		"through p50\tthrough p99\tdaemons' cores\tcpu ms/call\t")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(table, "%s\t%.0f\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.3f\t\n", r.Deployment, r.Rate, r.Calls,
-			r.Failed, spread(r.Added50), spread(r.Added99), spread(r.Direct50), spread(r.Direct99), spread(r.Through50),
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%.0f\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.3f\t\n", r.Deployment, r.Entry, r.Rate,
+			r.Calls, r.Failed, spread(r.Added50), spread(r.Added99), spread(r.Direct50), spread(r.Direct99), spread(r.Through50),
 			spread(r.Through99), spread(r.Processor), r.PerCall)
 	}
 	_ = table.Flush()
--- a/integration/measure/requests/fleet.go
+++ b/integration/measure/requests/fleet.go
@@ -201,8 +201,7 @@
 	faultZone   = "zone"
 )
 
-// inject makes the fault happen. The first target of the first service is the one that dies or is slow; its zone is the
-// one whose daemons are killed.
+// inject makes the fault happen. The target on the first host dies or is slow; the daemons of its zone are killed.
 func (f *fleet) inject(fault string) error {
 	first := f.hosts[0]
 	switch fault {
--- a/integration/measure/requests/load.go
+++ b/integration/measure/requests/load.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	// maxOpen bounds the requests that the client has open; arrivals beyond it are counted as not sent.
-	maxOpen     = 6000
+	// maxOpen bounds the requests of one kind that the client has open; arrivals beyond it are counted as not sent. The
+	// bound is for each kind so that a flood doesn't hold back the others in the client.
+	maxOpen = 4000
+	// maxKinds is the largest number of kinds of a deployment.
+	maxKinds    = 8
 	dialTimeout = time.Second
 )
 
@@ -106,7 +109,7 @@
 	direct  bool
 	start   time.Time
 	next    atomic.Uint64
-	open    atomic.Int64
+	open    [maxKinds]atomic.Int64
 	group   sync.WaitGroup
 	mu      sync.Mutex
 	samples []sample
@@ -127,7 +130,7 @@
 		if !sleep(ctx, d.start.Add(a.at).Sub(clock.Now())) {
 			return
 		}
-		if d.open.Load() >= maxOpen {
+		if d.open[a.kind.index].Load() >= maxOpen {
 			d.add(sample{kind: a.kind, intended: a.at, ended: a.at, result: resultUnsent})
 			continue
 		}
@@ -137,7 +140,7 @@
 
 // begin sends one arrival now.
 func (d *driver) begin(ctx context.Context, a arrival, number int) {
-	d.open.Add(1)
+	d.open[a.kind.index].Add(1)
 	d.group.Add(1)
 	go (&call{driver: d, ctx: ctx, arrival: a, id: fmt.Sprintf("%s-%d-%d", a.kind.work.route, d.seed, number)}).run()
 }
@@ -165,7 +168,7 @@
 func (c *call) run() {
 	d := c.driver
 	defer d.group.Done()
-	defer d.open.Add(-1)
+	defer d.open[c.arrival.kind.index].Add(-1)
 	s := sample{kind: c.arrival.kind, intended: c.arrival.at, id: c.id}
 	s.late = clock.Now().Sub(d.start) - s.intended
 	s.result, s.reason = c.attempt()
--- a/integration/measure/requests/main.go
+++ b/integration/measure/requests/main.go
@@ -54,8 +54,10 @@
 		&cli.DurationFlag{Name: "learn", Value: 12 * time.Second, Usage: "time at 0.6 times the capacity before a flood"},
 		&cli.DurationFlag{Name: "tail", Value: 2 * time.Second, Usage: "time for the last answers"},
 		&cli.IntFlag{Name: "explain", Usage: "late or refused requests of each kind to explain"},
+		&cli.BoolFlag{Name: "placement", Usage: "report what each target ran of each kind"},
 		&cli.BoolFlag{Name: "added", Usage: "measure the time added to a call instead"},
 		&cli.StringFlag{Name: "rates", Value: "75,500", Usage: "calls a second of one host, for --added"},
+		&cli.StringFlag{Name: "entry", Usage: "host whose daemon takes the calls, for --added; empty means the first"},
 		&cli.IntFlag{Name: "repetitions", Value: 5, Usage: "repetitions, for --added"},
 		&cli.StringFlag{Name: "logs", Usage: "directory for the output of the processes; empty drops it"},
 		&cli.BoolFlag{Name: "json", Usage: "write JSON"},
@@ -123,6 +125,7 @@
 	t := trial{
 		deployment: s.deployment, policy: p, loads: loads, fault: s.command.String("fault"),
 		seed: s.command.Uint64("seed"), explain: s.command.Int("explain"),
+		placement: s.command.Bool("placement"),
 		times: times{
 			warm: s.command.Duration("warm"), measured: s.command.Duration("measured"),
 			learn: s.command.Duration("learn"), tail: s.command.Duration("tail"),
@@ -143,7 +146,7 @@
 		return err
 	}
 	t := addedTrial{
-		deployment: s.deployment, rates: rates, repetitions: s.command.Int("repetitions"),
+		deployment: s.deployment, entry: s.command.String("entry"), rates: rates, repetitions: s.command.Int("repetitions"),
 		length: s.command.Duration("measured"), seed: s.command.Uint64("seed"),
 	}
 	results, err := t.run(ctx, s.log, s.programs, s.command.String("logs"))
--- a/integration/measure/requests/report.go
+++ b/integration/measure/requests/report.go
@@ -104,6 +104,7 @@
 			fmt.Fprintf(b, "%s: %s\n", f.Kind, reasonList(f.Reasons))
 		}
 	}
+	writePlacements(b, c.Placements)
 	for _, text := range c.Explained {
 		fmt.Fprintln(b, text)
 	}
--- a/integration/measure/requests/trial.go
+++ b/integration/measure/requests/trial.go
@@ -24,6 +24,8 @@
 	times times
 	// explain is the number of requests of each kind whose decisions are reported.
 	explain int
+	// placement makes the report say what each target ran.
+	placement bool
 }
 
 // times are the lengths of the parts of a run.
@@ -48,7 +50,8 @@
 	// Before holds the figures before a flood.
 	Before *figures `json:"before,omitempty"`
 	figures
-	Explained []string `json:"explained,omitempty"`
+	Explained  []string    `json:"explained,omitempty"`
+	Placements []placement `json:"placements,omitempty"`
 }
 
 // run starts a fleet and measures the cases of the trial on it.
@@ -112,6 +115,9 @@
 	}
 	measured := window{phases[0].length, phases[0].length + phases[1].length}
 	r.figures = collect(t.deployment, d.samples, measured)
+	if t.placement {
+		r.Placements = placements(f, d.samples, measured)
+	}
 	if t.flood != "" {
 		before := collect(t.deployment, d.samples, window{min(t.times.warm, phases[0].length/2), phases[0].length})
 		r.Before = &before
