--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,19 +6,20 @@
 //
 // # How many targets one fingerprint can take down
 //
-// Let k be the number of targets on which the fingerprint is in progress when the first of them crashes. Suspects
-// spread with the exchange between daemons. With one exchange by each daemon with one random other every 2 s, all 600
-// daemons were informed after 5 to 8 rounds in 100 trials, that is within 16 s; 13 daemons after 2 to 4 rounds, within
-// 8 s. Until an ingress daemon is informed, it sends the fingerprint to any target. Let u be the number of sends by
-// daemons that aren't informed. When every informed daemon sends a suspect only to the target that Confine returns, at
-// most k + u + 1 targets go down: the last one is the confined target, where the second crash quarantines the
-// fingerprint (the third one, if that target wasn't informed at the first). How long the quarantine takes to spread no
-// longer matters, since that target already refuses. Without Confine, each send while the quarantine spreads can take
-// down one more target.
+// Let k be the number of targets on which the fingerprint is in progress when the first of them crashes. The daemon
+// announces a crash to all members at once (OnCrash), and the failure that the ingress daemon receives names the
+// suspects. A member that misses the announcement learns of them by the exchange between daemons. With one exchange by
+// each daemon with one random other every 2 s, all 600 daemons were informed after 5 to 8 rounds in 100 trials, that is
+// within 16 s; 13 daemons after 2 to 4 rounds, within 8 s. Until an ingress daemon is informed, it sends the
+// fingerprint to any target. Let u be the number of sends by daemons that aren't informed. When every informed daemon
+// sends a suspect only to the target that Confine returns, at most k + u + 1 targets go down: the last one is the
+// confined target, where the second crash quarantines the fingerprint (the third one, if that target wasn't informed at
+// the first). How long the quarantine takes to spread no longer matters, since that target already refuses. Without
+// Confine, each send while the quarantine spreads can take down one more target.
 //
-// A caller that sends again every s seconds makes u at most 16/s in a fleet of 600. u is 0 for requests with an
-// idempotency key, which all go to one owner, and for sends through the ingress daemon that saw the crash, if it merges
-// the suspect at once. Announcing a crash at once, as a new version is announced, would make u smaller for all others.
+// Without the announcement, a caller that sends again every s seconds makes u at most 16/s in a fleet of 600. u is 0
+// for requests with an idempotency key, which all go to one owner, and for sends through the ingress daemon that saw
+// the crash.
 //
 // A fingerprint that stays in use after the expiry starts over, so these are bounds for one expiry time.
 package quarantine
