--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -179,3 +180,40 @@
 	}
 	return done
 }
+
+// Guards against a request in progress that is cut or sent elsewhere because the configuration changes under it: here
+// its host leaves the register and its route gets another time limit.
+func TestRequestKeepsItsConfiguration(t *testing.T) {
+	t.Parallel()
+	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 2})
+	const uploads, pieces = 6, 30
+	var group sync.WaitGroup
+	for n := range uploads {
+		group.Go(func() {
+			body := &slowBody{pieces: pieces, pause: 100 * time.Millisecond}
+			request, err := http.NewRequest("PUT", f.Hosts("")[n%2].URL("/upload"), body)
+			assert.Check(t, err)
+			request.Host = harness.Service
+			response, err := http.DefaultClient.Do(request)
+			if !assert.Check(t, err) {
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			data, err := io.ReadAll(response.Body)
+			assert.Check(t, err)
+			assert.Check(t, response.Header.Get(cicadacross.HeaderOutcome) == "done", "%d %s", response.StatusCode, data)
+			assert.Check(t, len(data) == pieces*1000, "%d bytes", len(data))
+		})
+	}
+	harness.Eventually(t, startOfRun, "the uploads run on both upstreams", func() bool {
+		return f.Hosts("")[0].Executions().Started > 0 && f.Hosts("")[1].Executions().Started > 0
+	})
+	f.PublishWithout(2, "zone-a-2")
+	harness.Eventually(t, convergence, "version 2 everywhere", atVersion(f, 2))
+	group.Wait()
+	started := 0
+	for _, h := range f.Hosts("") {
+		started += h.Executions().Started
+	}
+	assert.Equal(t, started, uploads)
+}
