--- a/internal/ingress/owner_test.go
+++ b/internal/ingress/owner_test.go
@@ -119,7 +119,8 @@
 	f := newFleet(t, fleetOptions{})
 	const head, chunk = relay.HeadBody, relay.ChunkSize
 	for _, size := range []int{
-		0, 1, head - 1, head, head + 1, (head + chunk) / 2, chunk - 1, chunk, chunk + 1, head + chunk, 2 * chunk, 10*chunk + 7,
+		0, 1, head - 1, head, head + 1, (head + chunk) / 2, chunk - 1, chunk, chunk + 1, head + chunk,
+		2 * chunk, 10*chunk + 7,
 	} {
 		body := strings.Repeat("x", size)
 		for host := range 2 {
