relay, ingress: give callers the reasons that the pages name

Cause found by reading: docs/at-most-once.md tells callers to look for earlier_unknown, key_reused, misrouted and others in X-Mesh-Reason, while the relay sent key, key_conflict and disagree. The names of the page are now the ones that are sent, and a full store and a missing or bad key have names of their own.

--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -84,6 +84,11 @@
 		assert.Equal(t, a.Body, "lot 7")
 	}
 	assert.Equal(t, f.RunsOfKey(key), 1)
+	other, err := f.Host("zone-a-1").Request(context.Background(), "POST", "/confirm", "lot 8", keyed(key))
+	assert.NilError(t, err)
+	assert.Equal(t, other.Status, http.StatusUnprocessableEntity, "%v", other)
+	assert.Equal(t, other.Header.Get(cicadacross.HeaderReason), "key_reused")
+	assert.Equal(t, f.RunsOfKey(key), 1)
 }
 
 // Guards against a second run when the daemon that holds the request is killed and the caller sends it again.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -274,7 +274,11 @@
 		verdict.Kind = relay.RefusalUnsettled
 	case idempotency.KindKeyReused:
 		verdict.Kind = relay.RefusalKeyConflict
-	case idempotency.KindEarlierUnknown, idempotency.KindStoreFull, idempotency.KindInvalidKey, idempotency.KindClaim:
+	case idempotency.KindStoreFull:
+		verdict.Kind = relay.RefusalStoreFull
+	case idempotency.KindInvalidKey:
+		verdict.Kind = relay.RefusalInvalidKey
+	case idempotency.KindEarlierUnknown, idempotency.KindClaim:
 	}
 	return verdict
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"cicadacross"
+	"cicadacross/internal/relay"
 )
 
 const (
@@ -160,14 +161,14 @@
 func (q *request) checkKey() *refused {
 	values := q.http.Header[cicadacross.HeaderIdempotencyKey]
 	if len(values) > 1 || (len(values) == 1 && !printable(values[0], maxKey)) {
-		return badRequest("key", "Idempotency-Key must be one value of 1 to 255 printable characters")
+		return badRequest(relay.RefusalInvalidKey, "Idempotency-Key must be one value of 1 to 255 printable characters")
 	}
 	if q.route.Repeatable() {
 		return nil
 	}
 	if len(values) == 0 {
 		return &refused{
-			status: http.StatusPreconditionRequired, reason: "key", outcome: cicadacross.OutcomeNotRun,
+			status: http.StatusPreconditionRequired, reason: "missing_key", outcome: cicadacross.OutcomeNotRun,
 			text: "this route needs an Idempotency-Key, since its requests must not repeat",
 		}
 	}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -14,9 +14,11 @@
 	RefusalWrongTarget = "wrong_target"
 	RefusalDraining    = "draining"
 	RefusalUnsettled   = "unsettled"
-	RefusalDisagree    = "disagree"
-	RefusalKey         = "key"
-	RefusalKeyConflict = "key_conflict"
+	RefusalDisagree    = "misrouted"
+	RefusalKey         = "earlier_unknown"
+	RefusalKeyConflict = "key_reused"
+	RefusalStoreFull   = "store_full"
+	RefusalInvalidKey  = "invalid_key"
 	RefusalQuarantined = "quarantined"
 	RefusalShed        = "shed"
 	RefusalDeadline    = "deadline"
@@ -26,7 +28,7 @@
 
 // The kinds of failures. A request that failed was started, and its outcome is unknown.
 const (
-	FailureKey       = "key"
+	FailureKey       = "earlier_unknown"
 	FailurePreempted = "preempted"
 	FailureTimeout   = "timeout"
 	FailureBroken    = "broken"
