ingress: let callers name a service in any case and outside ASCII

Cause found by trying curl: Host names depend on no case in HTTP, and Go's server takes only ASCII there, so that a service with a Cyrillic name, which the register allows, could not be called at all. Names in the form that DNS uses are decoded, and the lookup folds case. TestHostNamesTheService failed before for PORTAL and Portal:8080.

--- a/configuration.go
+++ b/configuration.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // ConfigurationOptions lists the content of a configuration. The slices must not change afterwards.
@@ -22,10 +23,12 @@
 type Configuration struct {
 	version  Version
 	services map[string]*Service
-	hosts    map[string]Target
-	ranks    map[string]Rank
-	leaving  map[string]bool
-	parts    map[string]string
+	// folded maps the lower-case form of each service's name, since names of hosts in HTTP don't depend on case.
+	folded  map[string]*Service
+	hosts   map[string]Target
+	ranks   map[string]Rank
+	leaving map[string]bool
+	parts   map[string]string
 }
 
 // Service is a set of targets and routes under one name.
@@ -58,6 +61,10 @@
 		slices.SortFunc(s.targets, func(a, b Target) int { return cmp.Compare(a.Name(), b.Name()) })
 		slices.SortStableFunc(s.routes, compareRoutes)
 	}
+	c.folded = make(map[string]*Service, len(c.services))
+	for name, s := range c.services {
+		c.folded[strings.ToLower(name)] = s
+	}
 	for _, r := range opts.Ranks {
 		c.ranks[r.Name()] = r
 	}
@@ -90,9 +97,13 @@
 // Version returns the version of the configuration.
 func (c *Configuration) Version() Version { return c.version }
 
-// Service returns the service with the name, or nil and false when the configuration has none.
+// Service returns the service with the name, or nil and false when the configuration has none. Case doesn't matter, and
+// the register refuses two services whose names differ in nothing else.
 func (c *Configuration) Service(name string) (*Service, bool) {
-	s, ok := c.services[name]
+	if s, ok := c.services[name]; ok {
+		return s, true
+	}
+	s, ok := c.folded[strings.ToLower(name)]
 	return s, ok
 }
 
--- a/internal/ingress/owner_test.go
+++ b/internal/ingress/owner_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/net/idna"
 	"gotest.tools/v3/assert"
 
 	"cicadacross"
@@ -131,3 +133,23 @@
 		}
 	}
 }
+
+// Guards against a service that callers can't name, because HTTP doesn't tell cases apart and allows only ASCII.
+func TestHostNamesTheService(t *testing.T) {
+	f := newFleet(t, fleetOptions{hosts: 1})
+	cyrillic, err := idna.ToASCII("портал")
+	assert.NilError(t, err)
+	for host, want := range map[string]string{
+		"portal": "", "PORTAL": "", "Portal:8080": "", cyrillic: "no service \"портал\"", "nowhere": "no service \"nowhere\"",
+	} {
+		request, err := http.NewRequest("GET", "http://"+f.nodes[0].caller+"/pages/a", http.NoBody)
+		assert.NilError(t, err)
+		request.Host = host
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, strings.TrimSpace(string(body)), want, host)
+	}
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/net/idna"
 
 	"cicadacross"
 	"cicadacross/internal/relay"
@@ -117,6 +118,10 @@
 	if host, _, err := net.SplitHostPort(name); err == nil {
 		name = host
 	}
+	// Callers send names outside ASCII in the form that DNS uses, since HTTP allows no others in Host.
+	if unicode, err := idna.ToUnicode(name); err == nil {
+		name = unicode
+	}
 	service, ok := q.configuration.Service(name)
 	if !ok || len(service.Targets()) == 0 {
 		return notFound("service", "no service "+strconv.Quote(name))
