integration: give the upload tests slots for all uploads

Cause of one failure in five runs of the longer uploads: all six went to one target of four slots, and admission refused the queued one as not run ("queued too long to be answered in time"), as the trace of the request shows. It was not cut by the shutdown, which is what the test guards; the checks stay as they are.

--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -185,7 +185,7 @@
 // its host leaves the register and its route gets another time limit.
 func TestRequestKeepsItsConfiguration(t *testing.T) {
 	t.Parallel()
-	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 2})
+	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 2, Slots: uploadSlots})
 	const uploads, pieces = 6, 30
 	var group sync.WaitGroup
 	for n := range uploads {
--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -233,6 +233,9 @@
 // reads before it sends a request on, so that the upload is in progress at an upstream while it arrives.
 const pieceSize = 20_000
 
+// uploadSlots lets all uploads of a test run at one upstream at once: admission refuses an upload that waits too long.
+const uploadSlots = 40
+
 // slowBody is a body that arrives piece by piece.
 type slowBody struct {
 	pieces int
@@ -252,7 +255,7 @@
 // runs it.
 func TestShutdownCutsNoUpload(t *testing.T) {
 	t.Parallel()
-	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 2})
+	f := harness.NewFleet(t, harness.Options{Zones: 1, HostsPerZone: 2, Slots: uploadSlots})
 	var group sync.WaitGroup
 	const uploads, pieces = 6, 40
 	for range uploads {
