--- a/admission.go
+++ b/admission.go
@@ -15,6 +15,11 @@
 	Slots int
 	// Draining reports that the target takes no new work.
 	Draining bool
+	// Wait estimates how long a new request waits for a slot.
+	Wait time.Duration
+	// Pace is the time that the target takes for a request relative to the time that all targets take for requests of
+	// the same kind; 0 means unknown.
+	Pace float64
 }
 
 // WorkOptions lists what admission knows of a request.
@@ -25,6 +30,10 @@
 	Rank       Rank
 	Deadline   time.Time
 	Repeatable bool
+	// Returning marks a request that was refused before and came back.
+	Returning bool
+	// Nested marks a call that a running request waits for.
+	Nested bool
 	// Cancel ends the request while it is in progress, so that more urgent work gets its slot; nil when it can't be ended.
 	Cancel func()
 }
@@ -52,6 +61,12 @@
 // Repeatable reports whether the request may run more than once.
 func (w Work) Repeatable() bool { return w.opts.Repeatable }
 
+// Returning reports whether the request was refused before and came back.
+func (w Work) Returning() bool { return w.opts.Returning }
+
+// Nested reports whether a running request waits for the answer.
+func (w Work) Nested() bool { return w.opts.Nested }
+
 // Cancel returns the function that ends the request while in progress, or nil.
 func (w Work) Cancel() func() { return w.opts.Cancel }
 
--- a/balancer.go
+++ b/balancer.go
@@ -1,5 +1,7 @@
 package cicadacross
 
+import "time"
+
 // Balancer chooses among the targets of a service. Implementations are safe for concurrent use.
 type Balancer interface {
 	// Pick returns one of the candidates, or false when there are none. Candidates are alive, known to the
@@ -17,3 +19,20 @@
 	AvailabilityZone string
 	Timers           Timers
 }
+
+// Placement is what a placer knows of a request.
+type Placement struct {
+	// Kind is the name of the route.
+	Kind string
+	// Bulky says that the request has a large body, which is better kept within the availability zone.
+	Bulky bool
+	// Aim is the time within which the answer has its full worth.
+	Aim time.Duration
+}
+
+// Placer chooses among the targets of a service by what it knows of the request and of the times that targets take.
+// Implementations are safe for concurrent use.
+type Placer interface {
+	// Place returns one of the candidates, or false when there are none.
+	Place(request Placement, candidates []Target) (Target, bool)
+}
--- a/cmd/cicadacrossd/main.go
+++ b/cmd/cicadacrossd/main.go
@@ -12,6 +12,7 @@
 
 	"cicadacross/internal/daemon"
 	"cicadacross/internal/journal"
+	_ "cicadacross/platform" // registers the users' platform
 )
 
 func main() {
--- a/configuration.go
+++ b/configuration.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 // ConfigurationOptions lists the content of a configuration. The slices must not change afterwards.
@@ -17,6 +18,18 @@
 	Leaving []string
 	// PartDigests maps each part's name to its digest.
 	PartDigests map[string]string
+	Limits      CallerLimits
+}
+
+// CallerLimits bounds what callers may send. A zero field means the daemon's own limit.
+type CallerLimits struct {
+	// HeaderSize and BodySize are in bytes.
+	HeaderSize int64
+	BodySize   int64
+	// HeaderTime is the longest time in which a header arrives.
+	HeaderTime time.Duration
+	// IdleTime is the longest time for which a connection is kept without a request.
+	IdleTime time.Duration
 }
 
 // Configuration is one immutable, validated configuration. It is safe for concurrent use.
@@ -29,6 +42,9 @@
 	ranks   map[string]Rank
 	leaving map[string]bool
 	parts   map[string]string
+	// authorities holds the routes that callers address by a name of their own.
+	authorities map[string]routeTable
+	limits      CallerLimits
 }
 
 // Service is a set of targets and routes under one name.
@@ -47,6 +63,9 @@
 		ranks:    make(map[string]Rank, len(opts.Ranks)),
 		leaving:  make(map[string]bool, len(opts.Leaving)),
 		parts:    maps.Clone(opts.PartDigests),
+		limits:   opts.Limits,
+
+		authorities: make(map[string]routeTable),
 	}
 	for _, t := range opts.Targets {
 		s := c.serviceFor(t.Service())
@@ -54,6 +73,10 @@
 		c.hosts[t.Host()] = t
 	}
 	for _, r := range opts.Routes {
+		if r.Authority() != "" {
+			c.tableFor(r.Authority()).add(r)
+			continue
+		}
 		s := c.serviceFor(r.Service())
 		s.routes = append(s.routes, r)
 	}
@@ -107,6 +130,48 @@
 	return s, ok
 }
 
+// RouteOf returns the route of a request that is addressed to an authority: the longest matching path prefix. The
+// result is false when no route has the authority or none matches.
+func (c *Configuration) RouteOf(authority, method, path string) (Route, bool) {
+	return c.authorities[strings.ToLower(authority)].find(method, path)
+}
+
+func (c *Configuration) tableFor(authority string) routeTable {
+	name := strings.ToLower(authority)
+	if c.authorities[name] == nil {
+		c.authorities[name] = make(routeTable)
+	}
+	return c.authorities[name]
+}
+
+// routeTable holds the routes of one authority by path prefix, without the slash at the end, so that a lookup doesn't
+// depend on the number of routes.
+type routeTable map[string][]Route
+
+func (t routeTable) add(r Route) {
+	prefix := strings.TrimSuffix(r.PathPrefix(), "/")
+	t[prefix] = append(t[prefix], r)
+	slices.SortStableFunc(t[prefix], compareRoutes)
+}
+
+func (t routeTable) find(method, path string) (Route, bool) {
+	for prefix := path; ; {
+		for _, r := range t[prefix] {
+			if r.Matches(method, path) {
+				return r, true
+			}
+		}
+		cut := strings.LastIndexByte(prefix, '/')
+		if cut < 0 {
+			return Route{}, false
+		}
+		prefix = prefix[:cut]
+	}
+}
+
+// Limits returns what callers may send.
+func (c *Configuration) Limits() CallerLimits { return c.limits }
+
 // Services returns all services, sorted by name.
 func (c *Configuration) Services() []*Service {
 	list := slices.Collect(maps.Values(c.services))
@@ -169,3 +234,6 @@
 	}
 	return Route{}, false
 }
+
+// TargetCount returns the number of targets.
+func (c *Configuration) TargetCount() int { return len(c.hosts) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,25 +53,28 @@
 
 // Daemon is one daemon with all its parts.
 type Daemon struct {
-	settings  Settings
-	log       logr.Logger
-	timers    cicadacross.Timers
-	metrics   metrics.Registry
-	pool      *peer.Pool
-	server    *grpc.Server
-	fleet     *fleet.Fleet
-	view      *memberView
-	keys      *idempotency.Store
-	suspects  *quarantine.Keeper
-	decisions *operator.DecisionLog
-	upstream  *upstream.Upstream
-	admission cicadacross.Admission
-	owner     *relay.Owner
-	client    *relay.Client
-	pause     *relay.Pause
-	ingress   *ingress.Server
-	operators *operatorServer
-	serving   sync.WaitGroup
+	settings   Settings
+	log        logr.Logger
+	timers     cicadacross.Timers
+	metrics    metrics.Registry
+	pool       *peer.Pool
+	server     *grpc.Server
+	control    control
+	registered *registered  // nil unless upstreams register themselves
+	fleet      *fleet.Fleet // nil when upstreams register themselves
+	view       *memberView  // nil when upstreams register themselves
+	readiness  *readiness   // nil unless upstreams register themselves
+	keys       *idempotency.Store
+	suspects   *quarantine.Keeper
+	decisions  *operator.DecisionLog
+	upstream   *upstream.Upstream
+	admission  cicadacross.Admission
+	owner      *relay.Owner
+	client     *relay.Client
+	pause      *relay.Pause
+	ingress    *ingress.Server
+	operators  *operatorServer
+	serving    sync.WaitGroup
 }
 
 // New builds a daemon. The error names each bad or missing setting.
@@ -84,7 +87,11 @@
 		d.timers = timer.System{}
 	}
 	d.log = opts.Log.WithValues("host", settings.Host)
-	if err := d.buildControl(); err != nil {
+	build := d.buildControl
+	if settings.Registered() {
+		build = d.buildRegistered
+	}
+	if err := build(); err != nil {
 		return nil, err
 	}
 	if err := d.buildTraffic(); err != nil {
@@ -112,7 +119,7 @@
 		return wrapError("build", KindPlugin, err, "source")
 	}
 	d.suspects = quarantine.New(quarantine.Options{
-		Host: d.settings.Host, Timers: d.timers, OnCrash: func() { d.fleet.AnnounceSuspects() },
+		Host: d.settings.Host, Timers: d.timers, OnCrash: func() { d.control.AnnounceSuspects() },
 	})
 	local := d.localAddress()
 	d.fleet, err = fleet.New(fleet.Options{
@@ -134,6 +141,7 @@
 	if err != nil {
 		return wrapError("build", KindPlugin, err, "fleet")
 	}
+	d.control = d.fleet
 	d.view = newMemberView(d.fleet, d.timers)
 	d.pool = peer.NewPool(d.settings.FleetKey, peer.From(local))
 	d.keys = idempotency.New(idempotency.Options{
@@ -161,6 +169,9 @@
 
 // buildTraffic builds the parts that carry requests.
 func (d *Daemon) buildTraffic() error {
+	if d.settings.Registered() {
+		return d.buildRegisteredTraffic()
+	}
 	admissions, err := kernel.Admissions.Lookup(d.settings.Admission)
 	if err != nil {
 		return err
@@ -221,7 +232,7 @@
 func (d *Daemon) buildOperators() error {
 	d.registerGauges()
 	handler := operator.NewHandler(operator.HandlerOptions{
-		Fleet:     operatorView{fleet: d.fleet, timers: d.timers},
+		Fleet:     d.stateSource(),
 		Decisions: d.decisions,
 		Metrics:   d.metrics,
 	})
@@ -244,6 +255,10 @@
 		d.log.Info("upstream of the register differs from the setting, which is used",
 			"register", target.Upstream(), "setting", d.settings.Upstream)
 	}
+	d.resize(target)
+}
+
+func (d *Daemon) resize(target cicadacross.Target) {
 	d.admission.Resize(target.Slots())
 	d.upstream.Resize(target.Connections())
 }
@@ -301,8 +316,12 @@
 
 // Start listens on all addresses and starts all parts. When it fails, nothing is left running.
 func (d *Daemon) Start() error {
-	listeners := make([]net.Listener, 0, 3)
-	for _, address := range []string{d.settings.ListenPeer, d.settings.ListenCaller, d.settings.ListenOperator} {
+	listeners := make([]net.Listener, 0, 4)
+	addresses := []string{d.settings.ListenPeer, d.settings.ListenCaller, d.settings.ListenOperator}
+	if d.readiness != nil {
+		addresses = append(addresses, d.settings.ListenReady)
+	}
+	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			for _, open := range listeners {
@@ -312,17 +331,16 @@
 		}
 		listeners = append(listeners, listener)
 	}
-	d.pause.Start()
-	d.upstream.Start()
-	d.client.Start()
-	d.keys.Start()
-	d.fleet.Start()
-	d.view.Start()
-	for _, e := range []endpoint{
+	d.startParts()
+	endpoints := []endpoint{
 		{name: "peers", serve: d.server.Serve, listener: listeners[0]},
 		{name: "callers", serve: d.ingress.Serve, listener: listeners[1]},
 		{name: "operators", serve: d.operators.Serve, listener: listeners[2]},
-	} {
+	}
+	if d.readiness != nil {
+		endpoints = append(endpoints, endpoint{name: "readiness", serve: d.readiness.Serve, listener: listeners[3]})
+	}
+	for _, e := range endpoints {
 		d.serving.Add(1)
 		go e.run(d)
 	}
@@ -331,6 +349,20 @@
 	return nil
 }
 
+// startParts starts the parts that don't listen.
+func (d *Daemon) startParts() {
+	d.pause.Start()
+	d.upstream.Start()
+	d.client.Start()
+	if d.keys != nil {
+		d.keys.Start()
+	}
+	d.control.Start()
+	if d.view != nil {
+		d.view.Start()
+	}
+}
+
 // endpoint is one listening server.
 type endpoint struct {
 	name     string
@@ -351,13 +383,16 @@
 // Shutdown ends the daemon gracefully: it tells the fleet that this host leaves, refuses new requests as not run,
 // waits until no request is in progress, and stops. The wait ends early with ctx or after the drain limit.
 func (d *Daemon) Shutdown(ctx context.Context) error {
-	if d.settings.DrainLimit > 0 {
+	if limit := d.drainLimit(); limit > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, d.settings.DrainLimit)
+		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
 	d.log.Info("daemon is draining", "in_progress", d.owner.InProgress())
-	d.fleet.SetDraining(true)
+	d.control.SetDraining(true)
+	if d.readiness != nil {
+		d.letCallersGo(ctx)
+	}
 	d.ingress.Drain()
 	err := d.owner.Drain(ctx)
 	if ingressErr := d.ingress.Shutdown(ctx); err == nil {
@@ -399,9 +434,16 @@
 	d.ingress.Close()
 	d.server.Stop()
 	d.operators.Close()
-	d.view.Stop()
-	d.fleet.Stop()
-	d.keys.Close()
+	if d.view != nil {
+		d.view.Stop()
+	}
+	if d.readiness != nil {
+		d.readiness.Close()
+	}
+	d.control.Stop()
+	if d.keys != nil {
+		d.keys.Close()
+	}
 	d.client.Stop()
 	d.upstream.Close()
 	d.pause.Stop()
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -30,18 +30,29 @@
 	ListenOperator   string
 	AdvertisePeer    string
 	Platform         string
-	Upstream         string
-	HealthPath       string
-	Seeds            []string
-	FleetKey         string
-	Admission        string
-	Balancer         string
-	Readers          string
-	LogLevel         string
-	MaxQueue         int
-	DecisionLines    int
-	RepeatWindow     time.Duration
-	DrainLimit       time.Duration
+	// Registry is the address of the registry in which upstreams register themselves; "" means that the register that
+	// operators publish names them.
+	Registry       string
+	RegistryFormat string
+	Service        string
+	ListenReady    string
+	MemoryLimit    int // MB; 0 means no limit
+	Grace          time.Duration
+	RetryRatio     float64
+	RetryExtra     int
+	RetryWindow    time.Duration
+	Upstream       string
+	HealthPath     string
+	Seeds          []string
+	FleetKey       string
+	Admission      string
+	Balancer       string
+	Readers        string
+	LogLevel       string
+	MaxQueue       int
+	DecisionLines  int
+	RepeatWindow   time.Duration
+	DrainLimit     time.Duration
 }
 
 // The bounds of the numeric settings.
@@ -54,6 +65,16 @@
 	defaultDecisions   = 100
 	defaultWindow      = 10 * time.Minute
 	environmentPrefix  = "CICADACROSS_"
+	defaultFormat      = "platform"
+	defaultGrace       = 6 * time.Second
+	minGrace           = time.Second
+	defaultRetryRatio  = 0.2
+	maxRetryRatio      = 10.0
+	defaultRetryExtra  = 50
+	maxRetryExtra      = 100_000
+	defaultRetryWindow = 10 * time.Second
+	minRetryWindow     = time.Second
+	maxMemoryLimit     = 1 << 20
 	longestHostSetting = 253
 )
 
@@ -61,6 +82,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Admission: "share", Balancer: "least", Readers: ReadersZone, LogLevel: "info",
+		RegistryFormat: defaultFormat, Grace: defaultGrace, RetryRatio: defaultRetryRatio,
+		RetryExtra: defaultRetryExtra, RetryWindow: defaultRetryWindow,
 		MaxQueue: defaultMaxQueue, DecisionLines: defaultDecisions, RepeatWindow: defaultWindow,
 	}
 }
@@ -77,6 +100,22 @@
 		text("listen-operator", "IP:port on which operators are served", "", &s.ListenOperator),
 		text("advertise-peer", "IP:port at which other daemons reach this one (default: listen-peer)", "", &s.AdvertisePeer),
 		text("platform", "IP:port of the platform's service", "", &s.Platform),
+		text("registry", "IP:port of the registry in which upstreams register themselves; replaces platform", "",
+			&s.Registry),
+		text("registry-format", "format of the registry's records and of callers' headers", defaults.RegistryFormat,
+			&s.RegistryFormat),
+		text("service", "service of the upstream on this host; needed with registry", "", &s.Service),
+		text("listen-ready", "IP:port on which readiness is told; needed with registry", "", &s.ListenReady),
+		number("memory-limit", "memory in MB that the process may use; 0 means no limit", 0, &s.MemoryLimit),
+		duration("grace", "time from SIGTERM to the end of the process, with registry", defaults.Grace, &s.Grace),
+		&cli.FloatFlag{
+			Name: "retry-ratio", Usage: "retries that the fleet may send for each request of a service",
+			Value: defaults.RetryRatio, Sources: cli.EnvVars(environmentName("retry-ratio")),
+			Destination: &s.RetryRatio,
+		},
+		number("retry-extra", "retries that the fleet may send besides in each window", defaults.RetryExtra,
+			&s.RetryExtra),
+		duration("retry-window", "time over which retries are counted", defaults.RetryWindow, &s.RetryWindow),
 		text("upstream", "IP:port of the upstream on this host", "", &s.Upstream),
 		text("health-path", "path of the upstream's health endpoint (default: no probes)", "", &s.HealthPath),
 		&cli.StringSliceFlag{
@@ -137,7 +176,10 @@
 		s.AdvertisePeer = s.ListenPeer
 	}
 	check.address("advertise-peer", s.AdvertisePeer)
-	check.address("platform", s.Platform)
+	s.validateRegistered(&check)
+	if !s.Registered() {
+		check.address("platform", s.Platform)
+	}
 	check.address("upstream", s.Upstream)
 	if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
 		check.fault("health-path", "%q does not start with \"/\"", s.HealthPath)
@@ -148,7 +190,7 @@
 	if len(s.FleetKey) < peer.MinKeyLength {
 		check.fault("fleet-key", "has %d bytes; give at least %d", len(s.FleetKey), peer.MinKeyLength)
 	}
-	check.oneOf("admission", s.Admission, "share", "fifo", "priority")
+	check.oneOf("admission", s.Admission, "share", "fifo", "priority", "aim")
 	check.oneOf("balancer", s.Balancer, "least", "roundrobin")
 	check.oneOf("readers", s.Readers, ReadersZone, ReadersAll)
 	check.oneOf("log-level", s.LogLevel, "debug", "info", "warn", "error")
@@ -163,6 +205,41 @@
 	return errors.Join(check.faults...)
 }
 
+// Registered reports whether upstreams register themselves.
+func (s *Settings) Registered() bool { return s.Registry != "" }
+
+func (s *Settings) validateRegistered(check *settingsCheck) {
+	if s.Registered() {
+		check.address("registry", s.Registry)
+		check.address("listen-ready", s.ListenReady)
+		check.name("service", s.Service)
+		if _, err := netip.ParseAddr(s.Host); err != nil {
+			check.fault("host", "%q is not an IP address, by which a registry names hosts", s.Host)
+		}
+		if s.Platform != "" {
+			check.fault("platform", "excludes --registry")
+		}
+	}
+	if s.Service != "" {
+		check.name("service", s.Service)
+	}
+	if s.ListenReady != "" {
+		check.address("listen-ready", s.ListenReady)
+	}
+	check.name("registry-format", s.RegistryFormat)
+	check.inRange("memory-limit", s.MemoryLimit, 0, maxMemoryLimit)
+	check.inRange("retry-extra", s.RetryExtra, 0, maxRetryExtra)
+	if s.Grace < minGrace {
+		check.fault("grace", "%s is below %s", s.Grace, minGrace)
+	}
+	if s.RetryRatio < 0 || s.RetryRatio > maxRetryRatio {
+		check.fault("retry-ratio", "%v is not between 0 and %v", s.RetryRatio, maxRetryRatio)
+	}
+	if s.RetryWindow < minRetryWindow {
+		check.fault("retry-window", "%s is below %s", s.RetryWindow, minRetryWindow)
+	}
+}
+
 // settingsCheck collects the faults of all settings, so that an operator mends them in one go.
 type settingsCheck struct {
 	faults []error
--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -49,7 +49,8 @@
 		"listen-operator": "127.0.0.1:0", "advertise-peer": "h1:1", "platform": "", "upstream": "127.0.0.1:99999",
 		"health-path": "health", "seeds": "nowhere", "fleet-key": "short", "admission": "lifo", "balancer": "random",
 		"readers": "none", "log-level": "loud", "max-queue": "0", "decision-lines": "-1", "repeat-window": "1ms",
-		"drain-limit": "-1s",
+		"drain-limit": "-1s", "registry": "nowhere", "registry-format": " kv", "service": " s", "listen-ready": "h1:1",
+		"memory-limit": "-1", "grace": "1ms", "retry-ratio": "-1", "retry-extra": "-1", "retry-window": "1ms",
 	}
 	for _, flag := range new(daemon.Settings).Flags() {
 		name := flag.Names()[0]
@@ -61,6 +62,21 @@
 	}
 }
 
+// Guards against a daemon with a registry that starts without what only such a daemon needs, or with two sources.
+func TestRegistrySettings(t *testing.T) {
+	arguments := append(goodArguments(), "--registry=127.0.0.1:9100")
+	_, err := parse(t, arguments...)
+	for _, flag := range []string{"--listen-ready", "--service", "--host", "--platform"} {
+		assert.ErrorContains(t, err, flag)
+	}
+	_, err = parse(t,
+		"--host=127.0.0.1", "--availability-zone=z1", "--listen-caller=127.0.0.1:8080", "--listen-peer=127.0.0.1:8081",
+		"--listen-operator=127.0.0.1:8082", "--registry=127.0.0.1:9000", "--upstream=127.0.0.1:9001",
+		"--fleet-key=0123456789abcdef", "--listen-ready=127.0.0.1:8083", "--service=store",
+	)
+	assert.NilError(t, err)
+}
+
 // Guards against settings that only the command line can give.
 func TestSettingsFromEnvironment(t *testing.T) {
 	t.Setenv("CICADACROSS_FLEET_KEY", "abcdefghijklmnop")
--- /dev/null
+++ b/internal/discovery/error.go
@@ -0,0 +1,25 @@
+package discovery
+
+import "cicadacross/internal/failure"
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindPeer means that another daemon could not be followed.
+	KindPeer Kind = "peer"
+	// KindSetup means that a required option is missing.
+	KindSetup Kind = "setup"
+)
+
+// Error is the error type of this package.
+type Error = failure.Error[Kind]
+
+func newError(op string, kind Kind, format string, args ...any) error {
+	return failure.New(op, kind, format, args...)
+}
+
+func wrapError(op string, kind Kind, cause error, format string, args ...any) error {
+	return failure.Wrap(op, kind, cause, format, args...)
+}
--- /dev/null
+++ b/internal/discovery/follow.go
@@ -0,0 +1,299 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"cicadacross"
+	"cicadacross/internal/peer"
+	"cicadacross/internal/peerpb"
+)
+
+const (
+	// sourcePlaces is how many of the first places of the zone a daemon follows: the reader and the one that replaces it.
+	sourcePlaces = 2
+	// followPoll is the time between two looks at which daemons are followed.
+	followPoll = 250 * time.Millisecond
+	// silenceLimit is how long a followed daemon may send nothing: three beats.
+	silenceLimit = 3 * beatInterval
+	// staleLimit is the age of the last confirmation at which a daemon follows any other one too, since all readers of
+	// its zone are lost.
+	staleLimit = 2 * time.Second
+	// straySwitch is how long a daemon follows such a random other one.
+	straySwitch = 2 * time.Second
+	// warnTimeout bounds the call that tells another daemon of suspects.
+	warnTimeout = time.Second
+)
+
+// following keeps one goroutine for each daemon that is followed.
+type following struct {
+	discovery *Discovery
+	mu        sync.Mutex
+	streams   map[string]context.CancelFunc
+	stray     string
+	strayAt   time.Time
+}
+
+func (d *Discovery) startFollowing(ctx context.Context) {
+	f := &following{discovery: d, streams: make(map[string]context.CancelFunc)}
+	d.stopped.Add(1)
+	go f.run(ctx)
+	p := &pinger{discovery: d}
+	d.stopped.Add(1)
+	go p.run(ctx)
+}
+
+func (f *following) run(ctx context.Context) {
+	d := f.discovery
+	defer d.stopped.Done()
+	t := d.opts.Timers.Every(followPoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C():
+			f.adjust(ctx)
+		}
+	}
+}
+
+// adjust starts and ends streams.
+func (f *following) adjust(ctx context.Context) {
+	wanted := make(map[string]bool)
+	if !f.discovery.opts.Everyone {
+		for _, host := range f.discovery.election.sources() {
+			wanted[host] = true
+		}
+	}
+	if stray := f.strayHost(); stray != "" {
+		wanted[stray] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for host, cancel := range f.streams {
+		if !wanted[host] {
+			cancel()
+			delete(f.streams, host)
+		}
+	}
+	for host := range wanted {
+		if f.streams[host] != nil {
+			continue
+		}
+		streamCtx, cancel := context.WithCancel(ctx)
+		f.streams[host] = cancel
+		s := &source{following: f, host: host}
+		f.discovery.stopped.Add(1)
+		go s.run(streamCtx, cancel)
+	}
+}
+
+// strayHost returns a random daemon to follow while no reader of the zone is heard, or "".
+func (f *following) strayHost() string {
+	now := f.discovery.opts.Timers.Now()
+	if now.Sub(f.discovery.status.Load().confirmed) < staleLimit {
+		f.stray = ""
+		return ""
+	}
+	if f.stray == "" || now.Sub(f.strayAt) > straySwitch {
+		f.stray, f.strayAt = f.discovery.election.anyHost(), now
+	}
+	return f.stray
+}
+
+// source is one daemon that is followed.
+type source struct {
+	following *following
+	host      string
+}
+
+// run follows the daemon until its stream ends; adjust then starts another one.
+func (s *source) run(ctx context.Context, cancel context.CancelFunc) {
+	d := s.following.discovery
+	defer d.stopped.Done()
+	defer cancel()
+	err := s.follow(ctx, cancel)
+	if ctx.Err() == nil {
+		d.opts.Log.V(1).Info("followed daemon is lost", "peer", s.host, "reason", err.Error())
+	}
+	s.following.mu.Lock()
+	defer s.following.mu.Unlock()
+	if ctx.Err() == nil || s.following.streams[s.host] != nil {
+		delete(s.following.streams, s.host)
+	}
+}
+
+func (s *source) follow(ctx context.Context, cancel context.CancelFunc) error {
+	d := s.following.discovery
+	conn, err := d.opts.Pool.Conn(d.peerAddress(s.host))
+	if err != nil {
+		return err
+	}
+	request := &peerpb.FollowRequest{
+		Host: d.opts.Host, AvailabilityZone: d.opts.AvailabilityZone, Held: d.held(),
+	}
+	stream, err := peerpb.NewReplicationClient(conn).Follow(ctx, request)
+	if err != nil {
+		return wrapError("follow", KindPeer, err, "host %s", s.host)
+	}
+	silence := &silenceWatch{timers: d.opts.Timers, cancel: cancel, heard: make(chan struct{}, 1)}
+	d.stopped.Add(1)
+	go silence.run(ctx, d)
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return wrapError("follow", KindPeer, err, "host %s", s.host)
+		}
+		silence.mark()
+		s.take(ctx, frame)
+	}
+}
+
+// take passes a frame to the control goroutine.
+func (s *source) take(ctx context.Context, frame *peerpb.FollowFrame) {
+	d := s.following.discovery
+	if frame.ConfirmedAgeMs == nil {
+		return
+	}
+	age := duration(frame.GetConfirmedAgeMs())
+	if frame.GetReader() {
+		d.election.told(s.host, age)
+	}
+	for _, prefix := range d.prefixes() {
+		revision, ok := frame.GetComplete()[prefix]
+		if !ok {
+			continue
+		}
+		u := update{prefix: prefix, whole: frame.GetWhole(), age: age, ages: []time.Duration{}}
+		u.changes.Revision = cicadacross.Revision(revision)
+		for _, r := range frame.GetRecords() {
+			if !hasPrefix(r.GetKey(), prefix) {
+				continue
+			}
+			u.changes.Records = append(u.changes.Records, cicadacross.Record{
+				Key: r.GetKey(), Value: r.GetValue(), Revision: cicadacross.Revision(r.GetRevision()),
+				Removed: r.GetRemoved(),
+			})
+			u.ages = append(u.ages, duration(r.GetAgeMs()))
+		}
+		d.send(ctx, u)
+	}
+}
+
+func hasPrefix(key, prefix string) bool {
+	return len(key) >= len(prefix) && key[:len(prefix)] == prefix
+}
+
+func duration(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(time.Hour/time.Millisecond))) * time.Millisecond // #nosec G115 -- bounded
+}
+
+// silenceWatch ends a stream that delivers nothing.
+type silenceWatch struct {
+	timers cicadacross.Timers
+	cancel context.CancelFunc
+	heard  chan struct{}
+}
+
+func (w *silenceWatch) mark() {
+	select {
+	case w.heard <- struct{}{}:
+	default:
+	}
+}
+
+func (w *silenceWatch) run(ctx context.Context, d *Discovery) {
+	defer d.stopped.Done()
+	for {
+		t := w.timers.After(silenceLimit)
+		select {
+		case <-w.heard:
+		case <-t.C():
+			w.cancel()
+		case <-ctx.Done():
+		}
+		t.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// pinger looks whether the registry answers while this daemon is elected.
+type pinger struct{ discovery *Discovery }
+
+func (p *pinger) run(ctx context.Context) {
+	d := p.discovery
+	defer d.stopped.Done()
+	t := d.opts.Timers.Every(pingInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C():
+		}
+		if d.Configuration() == nil || !d.election.elected() {
+			continue
+		}
+		if err := d.opts.Registry.Ping(ctx); err != nil || d.lost.Load() > 0 {
+			continue
+		}
+		d.election.heard()
+		d.send(ctx, update{})
+	}
+}
+
+// held returns the revisions up to which this daemon lacks nothing.
+func (d *Discovery) held() map[string]uint64 {
+	held := make(map[string]uint64)
+	for prefix, revision := range *d.completed.Load() {
+		held[prefix] = uint64(revision)
+	}
+	return held
+}
+
+func (d *Discovery) peerAddress(host string) string {
+	return net.JoinHostPort(host, strconv.Itoa(int(d.opts.PeerPort)))
+}
+
+// AnnounceSuspects tells all daemons of the requests that were in progress at a crash.
+func (d *Discovery) AnnounceSuspects() {
+	c := d.Configuration()
+	if c == nil || d.opts.Quarantine == nil {
+		return
+	}
+	suspects := peer.EncodeSuspects(d.opts.Quarantine)
+	for _, t := range c.Targets() {
+		if t.Host() != d.opts.Host {
+			w := &warning{discovery: d, address: t.Peer(), request: &peerpb.WarnRequest{Suspects: suspects}}
+			go w.run()
+		}
+	}
+}
+
+// warning is one call that tells another daemon of suspects.
+type warning struct {
+	discovery *Discovery
+	address   string
+	request   *peerpb.WarnRequest
+}
+
+func (w *warning) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), warnTimeout)
+	defer cancel()
+	conn, err := w.discovery.opts.Pool.Conn(w.address)
+	if err == nil {
+		_, err = peerpb.NewReplicationClient(conn).Warn(ctx, w.request)
+	}
+	if err != nil {
+		w.discovery.opts.Log.V(1).Info("suspects not told", "peer", w.address, "reason", err.Error())
+	}
+}
+
+func (d *Discovery) jitter() float64 { return rand.Float64() } // #nosec G404 -- no secret
--- /dev/null
+++ b/internal/discovery/hub.go
@@ -0,0 +1,173 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"cicadacross"
+	"cicadacross/internal/peer"
+	"cicadacross/internal/peerpb"
+)
+
+const (
+	// beatInterval is the time between two frames to a follower when nothing changes.
+	beatInterval = 500 * time.Millisecond
+	// frameQueue holds the frames of a follower that reads slowly. One that falls further behind is cut off and begins
+	// anew with what it holds.
+	frameQueue = 32
+)
+
+// hub serves the daemons that follow this one. Only the control goroutine uses followers.
+type hub struct {
+	discovery *Discovery
+	requests  chan *followRequest
+	leaving   chan *follower
+	followers map[*follower]bool
+}
+
+// follower is a daemon that follows this one.
+type follower struct {
+	host   string
+	frames chan *peerpb.FollowFrame
+}
+
+// followRequest asks the control goroutine for what another daemon lacks.
+type followRequest struct {
+	host   string
+	held   map[string]uint64
+	answer chan *follower
+}
+
+func (h *hub) init(d *Discovery) {
+	h.discovery = d
+	h.requests = make(chan *followRequest)
+	h.leaving = make(chan *follower)
+	h.followers = make(map[*follower]bool)
+}
+
+// Register adds the service to the server of this daemon.
+func (d *Discovery) Register(server grpc.ServiceRegistrar) {
+	peerpb.RegisterReplicationServer(server, d)
+}
+
+// Follow serves one daemon until it leaves.
+func (d *Discovery) Follow(
+	request *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowFrame],
+) error {
+	ctx := stream.Context()
+	ask := &followRequest{host: request.GetHost(), held: request.GetHeld(), answer: make(chan *follower, 1)}
+	select {
+	case d.hub.requests <- ask:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	f := <-ask.answer
+	defer d.hub.leave(ctx, f)
+	for {
+		select {
+		case frame, ok := <-f.frames:
+			if !ok {
+				return status.Error(codes.ResourceExhausted, "the follower reads too slowly")
+			}
+			if err := stream.Send(frame); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// leave tells the control goroutine that a follower is gone, unless that has stopped.
+func (h *hub) leave(_ context.Context, f *follower) {
+	t := h.discovery.opts.Timers.After(beatInterval)
+	defer t.Stop()
+	select {
+	case h.leaving <- f:
+	case <-t.C():
+		// The queue of the follower fills up, and the control goroutine removes it then.
+	}
+}
+
+// answer adds a follower. Its first frame holds what it lacks.
+func (d *Discovery) answer(request *followRequest) *follower {
+	f := &follower{host: request.host, frames: make(chan *peerpb.FollowFrame, frameQueue)}
+	frame := d.frame()
+	now := d.opts.Timers.Now()
+	for _, prefix := range d.prefixes() {
+		if _, held := request.held[prefix]; !held {
+			frame.Whole = true
+		}
+	}
+	for _, prefix := range d.prefixes() {
+		after := request.held[prefix]
+		if frame.Whole {
+			after = 0
+		}
+		u := d.replica.since(now, prefix, cicadacross.Revision(after))
+		for i, record := range u.changes.Records {
+			frame.Records = append(frame.Records, encodeRecord(record, u.ages[i]))
+		}
+	}
+	d.hub.followers[f] = true
+	f.frames <- frame
+	return f
+}
+
+// publish sends the changed records, or only that nothing changed, to all followers.
+func (h *hub) publish(changed []cicadacross.Record) {
+	if len(h.followers) == 0 {
+		return
+	}
+	frame := h.discovery.frame()
+	for _, record := range changed {
+		frame.Records = append(frame.Records, encodeRecord(record, 0))
+	}
+	for f := range h.followers {
+		select {
+		case f.frames <- frame:
+		default:
+			close(f.frames)
+			delete(h.followers, f)
+		}
+	}
+}
+
+// frame returns a frame without records.
+func (d *Discovery) frame() *peerpb.FollowFrame {
+	now := d.opts.Timers.Now()
+	frame := &peerpb.FollowFrame{Complete: make(map[string]uint64), Reader: d.election.reading(now)}
+	for prefix, revision := range d.replica.complete {
+		frame.Complete[prefix] = uint64(revision)
+	}
+	if !d.replica.confirmed.IsZero() {
+		age := milliseconds(now.Sub(d.replica.confirmed))
+		frame.ConfirmedAgeMs = &age
+	}
+	return frame
+}
+
+func encodeRecord(record cicadacross.Record, age time.Duration) *peerpb.Record {
+	return &peerpb.Record{
+		Key: record.Key, Value: record.Value, Revision: uint64(record.Revision), Removed: record.Removed,
+		AgeMs: milliseconds(age),
+	}
+}
+
+func milliseconds(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) } // #nosec G115 -- not below 0
+
+// Warn takes the suspects that another daemon tells.
+func (d *Discovery) Warn(_ context.Context, request *peerpb.WarnRequest) (*peerpb.WarnReply, error) {
+	suspects, err := peer.DecodeSuspects(request.GetSuspects())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	if d.opts.Quarantine != nil {
+		d.opts.Quarantine.Merge(suspects)
+	}
+	return &peerpb.WarnReply{}, nil
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -25,6 +25,8 @@
 	ctx    context.Context
 	upload *uploader // nil until the owner started a request whose body is not at hand
 	total  int64
+	// ack watches over the time in which the owner must say that the request has arrived; nil without a dialect.
+	ack *acknowledgement
 }
 
 func (a *attempt) close() {
@@ -38,12 +40,17 @@
 func (a *attempt) run() (*refused, error) {
 	for {
 		m, err := a.stream.Recv()
+		if a.ack != nil {
+			a.ack.end()
+		}
 		if err != nil {
 			return a.lost(err), nil
 		}
 		switch m := m.GetMessage().(type) {
 		case *peerpb.ForwardReply_Started:
-			a.startUpload()
+			if m.Started {
+				a.startUpload()
+			}
 		case *peerpb.ForwardReply_Refusal:
 			a.observe(m.Refusal.GetLoad())
 			if m.Refusal.GetKind() == relay.RefusalUpstream {
@@ -162,12 +169,11 @@
 func (a *attempt) writeHead(head *peerpb.ReplyHead) {
 	header := a.w.Header()
 	relay.CopyHeader(header, head.GetHeaders())
-	// These are signals between daemons and upstreams, or would speak for this daemon.
-	delete(header, cicadacross.HeaderDraining)
-	delete(header, cicadacross.HeaderEarlier)
-	delete(header, cicadacross.HeaderReason)
-	header[cicadacross.HeaderOutcome] = []string{cicadacross.OutcomeDone.String()}
-	header[cicadacross.HeaderRequestID] = []string{a.q.id}
+	if dialect := a.server.opts.Dialect; dialect != nil {
+		dialect.CleanAnswer(header)
+	} else {
+		a.markOutcome(header)
+	}
 	if _, ok := header["Content-Type"]; !ok {
 		// A nil value keeps net/http from guessing a type that the upstream didn't give.
 		header["Content-Type"] = nil
@@ -176,12 +182,22 @@
 	if head.GetContentLength() >= 0 && !noLength {
 		header["Content-Length"] = []string{strconv.FormatInt(head.GetContentLength(), 10)}
 	}
-	if a.uploading() || a.server.draining.Load() {
+	if a.uploading() || a.server.draining.Load() || a.server.closing.Load() {
 		header["Connection"] = []string{"close"}
 	}
 	a.w.WriteHeader(int(head.GetStatus()))
 }
 
+// markOutcome sets the product's own headers.
+func (a *attempt) markOutcome(header http.Header) {
+	// These are signals between daemons and upstreams, or would speak for this daemon.
+	delete(header, cicadacross.HeaderDraining)
+	delete(header, cicadacross.HeaderEarlier)
+	delete(header, cicadacross.HeaderReason)
+	header[cicadacross.HeaderOutcome] = []string{cicadacross.OutcomeDone.String()}
+	header[cicadacross.HeaderRequestID] = []string{a.q.id}
+}
+
 // uploading reports whether the answer came before the end of the caller's body.
 func (a *attempt) uploading() bool {
 	if a.upload == nil {
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -13,6 +13,9 @@
 // replaySize is how much of a body is kept for another attempt, in bytes.
 const replaySize = 64 << 10
 
+// markedReplaySize is the same for callers that mark their requests in a dialect, whose uploads have up to 360 KB.
+const markedReplaySize = 512 << 10
+
 // replayBody is the body of a caller's request. Its start is read before the first attempt and kept, so that a request
 // with a short body can be sent again and no slot is held while a short body arrives.
 type replayBody struct {
@@ -24,7 +27,7 @@
 }
 
 // readStart reads the start of the body.
-func readStart(r *http.Request) (*replayBody, error) {
+func readStart(r *http.Request, replaySize int64) (*replayBody, error) {
 	b := &replayBody{source: r.Body, length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.whole = true
@@ -43,7 +46,7 @@
 		return nil, wrapError("read", KindBody, err, "the body ended early")
 	}
 	b.start = slices.Clip(start)
-	b.whole = len(start) < replaySize
+	b.whole = int64(len(start)) < replaySize
 	if b.whole {
 		b.length = int64(len(start))
 	}
--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -17,6 +17,14 @@
 	minRetries = 3
 )
 
+// RetryBudget bounds the sends after the first of each request. Implementations are safe for concurrent use.
+type RetryBudget interface {
+	// Request counts one request for the service.
+	Request(service string)
+	// Retry reports whether one more send to the service is allowed, and counts it then.
+	Retry(service string) bool
+}
+
 // retryBudget bounds the retries to a share of the requests, so that they don't multiply the load of a storm.
 type retryBudget struct {
 	timers  cicadacross.Timers
@@ -31,15 +39,15 @@
 	}
 }
 
-// request counts one request.
-func (b retryBudget) request() {
+// Request counts one request.
+func (b retryBudget) Request(string) {
 	b.mu.Lock()
 	*b.saved = min(*b.saved+retryShare, maxRetries)
 	b.mu.Unlock()
 }
 
-// retry reports whether one more attempt is allowed.
-func (b retryBudget) retry() bool {
+// Retry reports whether one more attempt is allowed.
+func (b retryBudget) Retry(string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if *b.saved >= 1 {
--- /dev/null
+++ b/internal/ingress/fleetbudget.go
@@ -0,0 +1,93 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"cicadacross"
+)
+
+const (
+	// budgetUse is the part of the fleet's budget that is used, since daemons count apart and their number changes.
+	budgetUse = 0.7
+	// budgetSteps is the number of parts into which the window is divided.
+	budgetSteps = 10
+)
+
+// FleetBudgetOptions configures a FleetBudget. Timers and Daemons are required.
+type FleetBudgetOptions struct {
+	// Ratio is the number of retries for each request of a service, over the whole fleet.
+	Ratio float64
+	// Extra is the number of retries that the fleet may send besides in each window.
+	Extra int
+	// Window is the time over which retries are counted.
+	Window time.Duration
+	Timers cicadacross.Timers
+	// Daemons returns how many daemons share the budget.
+	Daemons func() int
+}
+
+// FleetBudget is one daemon's part of a budget of retries that the fleet shares without coordination: a share of its
+// own requests, and an even part of what is allowed besides. It is safe for concurrent use.
+type FleetBudget struct {
+	opts     FleetBudgetOptions
+	started  time.Time
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+var _ RetryBudget = (*FleetBudget)(nil)
+
+// window counts over a sliding time.
+type window struct {
+	step     int64
+	requests [budgetSteps]int
+	retries  [budgetSteps]int
+}
+
+// NewFleetBudget returns a budget without any use.
+func NewFleetBudget(opts FleetBudgetOptions) *FleetBudget {
+	return &FleetBudget{opts: opts, started: opts.Timers.Now(), services: make(map[string]*window)}
+}
+
+// Request counts one request for the service.
+func (b *FleetBudget) Request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	w.requests[w.step%budgetSteps]++
+}
+
+// Retry reports whether one more send to the service is allowed, and counts it then.
+func (b *FleetBudget) Retry(service string) bool {
+	daemons := float64(max(1, b.opts.Daemons()))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	requests, retries := 0, 0
+	for i := range budgetSteps {
+		requests += w.requests[i]
+		retries += w.retries[i]
+	}
+	allowed := budgetUse * (b.opts.Ratio*float64(requests) + float64(b.opts.Extra)/daemons)
+	if float64(retries+1) > allowed {
+		return false
+	}
+	w.retries[w.step%budgetSteps]++
+	return true
+}
+
+// window returns the counts of the service, without those that have left the window. The lock is held.
+func (b *FleetBudget) window(service string) *window {
+	now := int64(b.opts.Timers.Now().Sub(b.started) / (b.opts.Window / budgetSteps))
+	w, ok := b.services[service]
+	if !ok {
+		w = &window{step: now}
+		b.services[service] = w
+	}
+	for step := max(w.step, now-budgetSteps) + 1; step <= now; step++ {
+		w.requests[step%budgetSteps], w.retries[step%budgetSteps] = 0, 0
+	}
+	w.step = now
+	return w
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -41,7 +42,7 @@
 		fault = s.readBody(w, q)
 	}
 	if fault == nil {
-		s.budget.request()
+		s.budget.Request(q.service.Name())
 		var err error
 		if fault, err = s.forward(w, q); err != nil {
 			s.opts.Decisions.Record(q.id, "abort", "side", "ingress", "error", err.Error())
@@ -58,6 +59,7 @@
 	if q.mayHaveRun && fault.outcome == cicadacross.OutcomeNotRun {
 		// The last attempt did not run, and an earlier one may have.
 		fault.outcome, fault.status = cicadacross.OutcomeUnknown, http.StatusBadGateway
+		fault.retryAfter = 0
 	}
 	s.opts.Decisions.Record(q.id, "refuse", "side", "ingress", "status", fault.status,
 		"outcome", fault.outcome.String(), "reason", fault.reason, "text", fault.text)
@@ -65,9 +67,13 @@
 		// Only the owner of a key knows whether an earlier send ran.
 		fault.earlierUnknown = q.http.Header.Get(cicadacross.HeaderIdempotencyKey) != "" && !q.route.Repeatable()
 	}
-	if s.draining.Load() {
+	if s.draining.Load() || s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.opts.Dialect != nil {
+		s.refuseMarked(w, q, fault)
+		return
+	}
 	fault.write(w, q.id)
 }
 
@@ -78,7 +84,12 @@
 		_ = control.SetReadDeadline(time.Now().Add(s.remaining(q)))
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := readStart(q.http)
+	body, err := readStart(q.http, s.replaySize())
+	if err != nil && s.opts.Dialect != nil {
+		return &refused{
+			status: http.StatusRequestTimeout, reason: "body", outcome: cicadacross.OutcomeNotRun, text: err.Error(),
+		}
+	}
 	if err != nil {
 		return badRequest("body", err.Error())
 	}
@@ -91,6 +102,9 @@
 // forward makes the attempts. The answer is written unless the first result says what to answer. The error means that
 // the answer broke off.
 func (s *Server) forward(w http.ResponseWriter, q *request) (*refused, error) {
+	if s.opts.Dialect != nil {
+		s.opts.Dialect.MarkForwarded(q.http.Header, s.opts.Service)
+	}
 	headers := relay.EncodeHeader(q.http.Header)
 	q.fingerprint = relay.Fingerprint(q.service.Name(), q.http.Method, q.path(), q.body.start)
 	if s.opts.Quarantine.Blocked(q.fingerprint) {
@@ -98,7 +112,7 @@
 	}
 	var tried []string
 	var last *refused
-	for n := 0; n < maxAttempts; {
+	for n := 0; n < s.attempts(q) && len(tried) < s.maxTried(); {
 		target, fault := s.next(q, tried, last)
 		if fault != nil {
 			return fault, nil
@@ -107,7 +121,7 @@
 		head.Attempt = uint32(n) // #nosec G115
 		var err error
 		last, err = s.attempt(w, q, target, head)
-		if last == nil || !last.free() {
+		if last == nil || !last.free() && !(s.opts.Dialect != nil && last.unsent()) {
 			n++
 		}
 		q.mayHaveRun = q.mayHaveRun || last == nil || last.outcome != cicadacross.OutcomeNotRun
@@ -137,7 +151,7 @@
 		return target, unavailable(relay.RefusalDeadline, "no time is left")
 	case !ok, s.remaining(q) <= 0:
 		return target, last
-	case last != nil && !last.free() && !s.budget.retry():
+	case last != nil && !s.unbudgeted(last) && !s.budget.Retry(q.service.Name()):
 		s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
 		return target, last
 	}
@@ -147,6 +161,9 @@
 // retryable reports whether another attempt may be made: the earlier one did not run, or the request may run twice and
 // its whole body is at hand.
 func (s *Server) retryable(q *request, last *refused) bool {
+	if s.opts.Dialect != nil {
+		return s.markedRetryable(q, last)
+	}
 	if q.http.Context().Err() != nil || s.remaining(q) <= 0 || !q.body.replayable() {
 		return false
 	}
@@ -206,11 +223,11 @@
 		}
 	}
 	by := "balancer"
-	target, ok := s.opts.Balancer.Pick(good)
+	target, ok := s.choose(q, good)
 	if !ok {
 		// Evidence against a host may be outdated, so that it is used when there is nothing better.
 		by = "last_resort"
-		target, ok = s.opts.Balancer.Pick(doubtful)
+		target, ok = s.choose(q, doubtful)
 	}
 	if ok {
 		s.opts.Decisions.Record(q.id, "pick", "side", "ingress", "target", target.Name(),
@@ -219,6 +236,46 @@
 	return target, ok
 }
 
+// choose asks the placer, or without one the balancer.
+func (s *Server) choose(q *request, candidates []cicadacross.Target) (cicadacross.Target, bool) {
+	if s.opts.Placer == nil {
+		return s.opts.Balancer.Pick(candidates)
+	}
+	return s.opts.Placer.Place(cicadacross.Placement{
+		Kind: q.route.Name(), Bulky: q.route.Bulky(), Aim: s.aimLeft(q),
+	}, candidates)
+}
+
+// attempts returns how many sends of the request may reach upstreams.
+func (s *Server) attempts(q *request) int {
+	if s.opts.Dialect != nil {
+		return q.route.Attempts()
+	}
+	return maxAttempts
+}
+
+// maxTried bounds the targets that are asked. Without a dialect each one counts as an attempt.
+func (s *Server) maxTried() int {
+	if s.opts.Dialect != nil {
+		return maxMarkedAttempts
+	}
+	return math.MaxInt
+}
+
+// unbudgeted reports whether another attempt costs nothing of the retry budget: in a dialect the owner's refusal keeps
+// the request from its upstream.
+func (s *Server) unbudgeted(last *refused) bool {
+	return last.free() || (s.opts.Dialect != nil && last.unsent())
+}
+
+// replaySize returns how much of a body is kept for another attempt, in bytes.
+func (s *Server) replaySize() int64 {
+	if s.opts.Dialect != nil {
+		return markedReplaySize
+	}
+	return replaySize
+}
+
 // confined chooses the target of a request that was in progress when an upstream crashed. There is only one, so that
 // the request can't take down the others.
 func (s *Server) confined(q *request, tried []string) (cicadacross.Target, bool) {
@@ -249,7 +306,7 @@
 func (s *Server) head(q *request, target cicadacross.Target, headers []*peerpb.Header) *peerpb.ForwardHead {
 	remaining := s.remaining(q)
 	remaining -= min(answerMargin, remaining/10)
-	return &peerpb.ForwardHead{
+	head := &peerpb.ForwardHead{
 		RequestId:      q.id,
 		Version:        relay.EncodeVersion(q.configuration.Version()),
 		Service:        q.service.Name(),
@@ -271,6 +328,16 @@
 		Body:           q.body.inline(),
 		Complete:       q.body.allInline(),
 	}
+	if s.opts.Dialect != nil {
+		aim := uint64(max(0, s.aimLeft(q).Milliseconds())) // #nosec G115
+		head.AimMs, head.Returning, head.Nested, head.Authority = &aim, q.returning, q.nested, q.http.Host
+	}
+	return head
+}
+
+// aimLeft returns what is left of the time within which the answer has its full worth.
+func (s *Server) aimLeft(q *request) time.Duration {
+	return q.aim - s.opts.Timers.Now().Sub(q.arrived)
 }
 
 // attempt sends the request to one target. The results are those of forward.
@@ -288,6 +355,10 @@
 	}
 	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx}
 	defer a.close()
+	if s.opts.Dialect != nil {
+		a.ack = newAcknowledgement(a)
+		defer a.ack.end()
+	}
 	return a.run()
 }
 
@@ -297,6 +368,9 @@
 	if errors.As(err, &e) && e.Kind() == relay.KindRejected {
 		return unavailable("rejected", err.Error())
 	}
+	if a.ack != nil && a.ack.silent.Load() {
+		return unknown(http.StatusBadGateway, reasonSilent, "the owner did not acknowledge the request")
+	}
 	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return unknown(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
 	}
--- /dev/null
+++ b/internal/ingress/marked.go
@@ -0,0 +1,191 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"cicadacross"
+	"cicadacross/internal/relay"
+)
+
+const (
+	// returningShare is the part of the usual time limit below which a caller is taken to have been refused before: a
+	// caller that comes back has used up some of its time.
+	returningShare = 0.97
+	// maxMarkedAttempts bounds how many owners are asked for a slot for one request.
+	maxMarkedAttempts = 4
+	// minRetryAfter is the shortest time after which a refused caller is asked to come back.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// readMarked reads a request whose caller marks it in the dialect.
+func (s *Server) readMarked(r *http.Request, arrived time.Time) (*request, *refused) {
+	q := &request{http: r, configuration: s.opts.Configuration(), arrived: arrived}
+	marks, text := s.opts.Dialect.ReadRequest(r)
+	q.id = marks.ID
+	switch {
+	case text != "":
+		return q, badRequest("marks", text)
+	case !r.ProtoAtLeast(1, 1) || r.Method == http.MethodConnect || conflictingLengths(r):
+		return q, badRequest("form", "the request is not proper HTTP/1.1")
+	case s.draining.Load():
+		return q, unavailable("stopping", "the daemon is stopping")
+	case q.configuration == nil:
+		return q, unavailable("no_configuration", "the daemon has no configuration yet")
+	}
+	if fault := checkLimits(r, q.configuration.Limits()); fault != nil {
+		return q, fault
+	}
+	path, _, _ := strings.Cut(q.path(), "?")
+	route, ok := q.configuration.RouteOf(r.Host, r.Method, path)
+	if !ok {
+		return q, notFound("route", "no route for the authority and path")
+	}
+	q.route, q.rank = route, route.Rank()
+	q.nested = s.isLocal(r)
+	s.readTimes(q, marks, arrived)
+	if fault := q.chooseService(s.splits.next(route)); fault != nil {
+		return q, fault
+	}
+	return q, nil
+}
+
+// checkLimits refuses requests above the limits of the configuration.
+func checkLimits(r *http.Request, limits cicadacross.CallerLimits) *refused {
+	if limits.BodySize > 0 && r.ContentLength > limits.BodySize {
+		return &refused{
+			status: http.StatusRequestEntityTooLarge, reason: "body_size", outcome: cicadacross.OutcomeNotRun,
+			text: "the body is larger than the configuration allows",
+		}
+	}
+	if limits.HeaderSize <= 0 {
+		return nil
+	}
+	size := int64(len(r.Method) + len(r.RequestURI) + len(r.Host))
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += int64(len(name) + len(value))
+		}
+	}
+	if size > limits.HeaderSize {
+		return &refused{
+			status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_size",
+			outcome: cicadacross.OutcomeNotRun, text: "the header is larger than the configuration allows",
+		}
+	}
+	return nil
+}
+
+// isLocal reports whether the request comes from this host: from its upstream, while that runs another request.
+func (s *Server) isLocal(r *http.Request) bool {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && host == s.opts.Host
+}
+
+// readTimes fixes the time limits. A caller that has less time than usual was refused before; what it has used up is
+// gone from the target time too.
+func (s *Server) readTimes(q *request, marks cicadacross.CallerRequest, arrived time.Time) {
+	limit := q.route.Timeout()
+	q.aim = q.rank.Target()
+	if marks.Timeout > 0 {
+		limit = min(limit, marks.Timeout)
+		if !q.nested {
+			usual := s.patience.usual(q.route.Name(), marks.Timeout)
+			if float64(marks.Timeout) < returningShare*float64(usual) {
+				q.returning = true
+				q.aim = max(0, q.aim-(usual-marks.Timeout))
+			}
+		}
+	}
+	q.deadline = arrived.Add(limit)
+}
+
+// chooseService fixes the service that a split route gave the request.
+func (q *request) chooseService(name string) *refused {
+	service, ok := q.configuration.Service(name)
+	if !ok || len(service.Targets()) == 0 {
+		return unavailable("no_target", "no target of the service is known")
+	}
+	q.service = service
+	return nil
+}
+
+// patience remembers the longest time limit that callers give on each route, which is that of a first send. It is safe
+// for concurrent use.
+type patience struct {
+	mu      sync.Mutex
+	longest map[string]time.Duration
+}
+
+// maxRoutes bounds what is remembered of routes.
+const maxRoutes = 10_000
+
+// usual takes the time limit of a request and returns the usual one.
+func (p *patience) usual(route string, given time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.longest == nil || len(p.longest) > maxRoutes {
+		p.longest = make(map[string]time.Duration)
+	}
+	p.longest[route] = max(p.longest[route], given)
+	return p.longest[route]
+}
+
+// splits divides the requests of split routes among their services, exactly by weight over each round. It is safe for
+// concurrent use.
+type splits struct {
+	mu      sync.Mutex
+	credits map[string][]int
+}
+
+// next returns the service of the route's next request: the one that is furthest behind its share.
+func (s *splits) next(route cicadacross.Route) string {
+	backends := route.Backends()
+	if len(backends) == 0 {
+		return route.Service()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.credits == nil || len(s.credits) > maxRoutes {
+		s.credits = make(map[string][]int)
+	}
+	credits := s.credits[route.Name()]
+	if len(credits) != len(backends) {
+		credits = make([]int, len(backends))
+		s.credits[route.Name()] = credits
+	}
+	sum, best := 0, 0
+	for i, b := range backends {
+		credits[i] += b.Weight()
+		sum += b.Weight()
+		if credits[i] > credits[best] {
+			best = i
+		}
+	}
+	credits[best] -= sum
+	return backends[best].Service()
+}
+
+// refuseMarked answers a caller in the dialect. Statuses that promise that nothing has run are given only when that is
+// so.
+func (s *Server) refuseMarked(w http.ResponseWriter, q *request, fault *refused) {
+	s.opts.Dialect.WriteRefusal(w, cicadacross.RefusalAnswer{
+		RequestID: q.id, Status: fault.status, Outcome: fault.outcome, Reason: fault.reason, Text: fault.text,
+		RetryAfter: fault.retryAfter,
+	})
+}
+
+// markedRetryable reports whether another attempt may be made in the dialect.
+func (s *Server) markedRetryable(q *request, last *refused) bool {
+	if q.http.Context().Err() != nil || s.remaining(q) <= 0 || !q.body.replayable() {
+		return false
+	}
+	switch last.reason {
+	case relay.FailureCrashed, relay.RefusalQuarantined, relay.RefusalCanceled, relay.FailureTimeout:
+		return false
+	}
+	return last.outcome == cicadacross.OutcomeNotRun || q.route.Repeatable()
+}
--- a/internal/ingress/refused.go
+++ b/internal/ingress/refused.go
@@ -13,6 +13,9 @@
 // reasonUnreachable means that no connection to the owner could be used, so that it never saw the request.
 const reasonUnreachable = "unreachable"
 
+// reasonSilent means that the owner didn't say in time that the request has arrived.
+const reasonSilent = "silent"
+
 // refused is an answer that the daemon gives itself.
 type refused struct {
 	status     int
@@ -98,3 +101,8 @@
 	}
 	return false
 }
+
+// unsent reports whether the owner refused the request without calling its upstream.
+func (f *refused) unsent() bool {
+	return f.outcome == cicadacross.OutcomeNotRun && f.reason != relay.RefusalRejected
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -40,10 +40,21 @@
 	mayHaveRun    bool // an attempt was started
 	// fingerprint identifies the request for the quarantine.
 	fingerprint uint64
+	// aim is what is left of the time within which the answer has its full worth, counted from the arrival.
+	aim time.Duration
+	// returning marks a request that was refused before and came back.
+	returning bool
+	// nested marks a call of the upstream on this host.
+	nested bool
+	// arrived is when the request was read.
+	arrived time.Time
 }
 
 // read checks the headers and fixes the route. The result is nil when the request is refused.
 func (s *Server) read(r *http.Request, arrived time.Time) (*request, *refused) {
+	if s.opts.Dialect != nil {
+		return s.readMarked(r, arrived)
+	}
 	q := &request{http: r, configuration: s.opts.Configuration()}
 	var fault *refused
 	if q.id, fault = requestID(r.Header); fault != nil {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -54,6 +54,14 @@
 	Timers    cicadacross.Timers
 	// Pause detects that the process was stopped; it may be nil.
 	Pause *relay.Pause
+	// Dialect is how callers mark their requests; nil means the product's own headers.
+	Dialect cicadacross.Dialect
+	// Service is the service of this host, which a dialect names to upstreams.
+	Service string
+	// Placer chooses targets in place of Balancer; it may be nil.
+	Placer cicadacross.Placer
+	// Budget bounds the retries that reach upstreams; nil means a share of this daemon's requests.
+	Budget RetryBudget
 	// Logger takes events of the server. The zero value discards them.
 	Logger logr.Logger
 }
@@ -62,9 +70,13 @@
 type Server struct {
 	opts     Options
 	http     *http.Server
-	budget   retryBudget
+	budget   RetryBudget
 	evidence evidence
 	draining atomic.Bool
+	// closing says that connections are closed after their next answer.
+	closing  atomic.Bool
+	patience patience
+	splits   splits
 }
 
 // New returns a server. Serve accepts callers.
@@ -72,7 +84,10 @@
 	if opts.Logger.GetSink() == nil {
 		opts.Logger = logr.Discard()
 	}
-	s := &Server{opts: opts, budget: newRetryBudget(opts.Timers)}
+	s := &Server{opts: opts, budget: opts.Budget}
+	if s.budget == nil {
+		s.budget = newRetryBudget(opts.Timers)
+	}
 	s.evidence.timers = opts.Timers
 	handler, err := newHandler(s)
 	if err != nil {
@@ -141,6 +156,9 @@
 	return err
 }
 
+// BeginClosing lets callers go: each answer closes its connection. Requests are still served.
+func (s *Server) BeginClosing() { s.closing.Store(true) }
+
 // Drain refuses new requests as not run while those in progress continue.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 
@@ -19,11 +20,24 @@
 // SourceFactory builds a source that reads the platform's service at the address, as IP:port.
 type SourceFactory func(address string) (cicadacross.Source, error)
 
+// RegistryFactory builds a client of the platform's registry at the address, as IP:port. Calls come from the local
+// address unless it is the zero Addr.
+type RegistryFactory func(address string, local netip.Addr) (cicadacross.Registry, error)
+
+// FormatFactory builds the decoder of the registry's records.
+type FormatFactory func() cicadacross.RegistryFormat
+
+// DialectFactory builds the convention between callers, daemons and upstreams.
+type DialectFactory func() cicadacross.Dialect
+
 // The registries, one for each interface. Implementations add themselves in their init functions.
 var (
 	Admissions = NewRegistry[AdmissionFactory]("admission policy")
 	Balancers  = NewRegistry[BalancerFactory]("balancer")
 	Sources    = NewRegistry[SourceFactory]("source")
+	Registries = NewRegistry[RegistryFactory]("platform registry")
+	Formats    = NewRegistry[FormatFactory]("registry format")
+	Dialects   = NewRegistry[DialectFactory]("dialect")
 )
 
 // Registry maps names to factories of one kind. It is safe for concurrent use.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -74,6 +74,9 @@
 // one of unknown length as they come.
 func (t *transfer) read(buffer []byte) (int, error) {
 	short := t.head != nil && t.reply.ContentLength >= 0 && t.reply.ContentLength < int64(len(buffer))
+	if t.run.owner.opts.Dialect != nil && t.head != nil && t.reply.ContentLength < 0 {
+		return t.readWhole(buffer)
+	}
 	if !short {
 		return t.reply.Body.Read(buffer)
 	}
@@ -84,6 +87,16 @@
 	return n, err
 }
 
+// readWhole fills the buffer with an answer of unknown length, so that one that breaks off early can be replaced by an
+// answer of the daemon. ReadFull's own sentinel means a proven end; the reader wraps the one of a cut.
+func (t *transfer) readWhole(buffer []byte) (int, error) {
+	n, err := io.ReadFull(t.reply.Body, buffer)
+	if err == io.ErrUnexpectedEOF { //nolint:errorlint // a wrapped one is a cut
+		return n, io.EOF
+	}
+	return n, err
+}
+
 func (t *transfer) keep(piece []byte) {
 	if t.run.key == nil || t.tooLong {
 		return
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -25,14 +26,18 @@
 	// Settled reports whether the daemon's evidence is recent enough for keyed requests; nil means always.
 	Settled func() bool
 	// KeyOwner returns the target that owns a key of the service.
-	KeyOwner   func(service *cicadacross.Service, key string) (cicadacross.Target, bool)
-	Admission  cicadacross.Admission
+	KeyOwner  func(service *cicadacross.Service, key string) (cicadacross.Target, bool)
+	Admission cicadacross.Admission
+	// Keys may be nil; requests that must not repeat need no key then, and a caller doesn't send them again by itself.
 	Keys       cicadacross.Keys
 	Quarantine cicadacross.Quarantine
 	Upstream   *upstream.Upstream
 	Timers     cicadacross.Timers
 	Decisions  cicadacross.Decisions
 	Pause      *Pause
+	// Dialect marks the calls and reads the answers; nil means the product's own headers. With a dialect the upstream
+	// verifies itself that it is the target.
+	Dialect cicadacross.Dialect
 	// Classify explains the errors of keys, quarantine and admission; nil or false means the worst case of the stage.
 	Classify func(stage Stage, err error) (Verdict, bool)
 }
@@ -132,12 +137,15 @@
 	}
 }
 
+func (o *Owner) stopping() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.draining
+}
+
 // Leaving reports whether the target of this host takes no new work, for whichever reason.
 func (o *Owner) Leaving() bool {
-	o.mu.Lock()
-	draining := o.draining
-	o.mu.Unlock()
-	if draining || o.opts.Upstream.State().Draining {
+	if o.stopping() || o.opts.Upstream.State().Draining {
 		return true
 	}
 	if o.opts.Leaving != nil && o.opts.Leaving(o.opts.Host) {
@@ -159,12 +167,23 @@
 		Queued:     uint32(l.Queued),     // #nosec G115
 		Slots:      uint32(l.Slots),      // #nosec G115
 		Draining:   l.Draining || o.Leaving(),
+
+		WaitMs:      uint32(min(l.Wait.Milliseconds(), maxLoadWait.Milliseconds())), // #nosec G115 -- bounded
+		PacePercent: uint32(min(max(l.Pace, 0), maxPace) * 100),                     // #nosec G115 -- bounded
 	}
 }
 
+const (
+	// maxLoadWait bounds the wait that an owner tells.
+	maxLoadWait = time.Minute
+	// maxPace bounds the pace that an owner tells.
+	maxPace = 1000.0
+)
+
 // DecodeLoad returns the load of a message between daemons.
 func DecodeLoad(l *peerpb.Load) cicadacross.Load {
 	return cicadacross.Load{
 		InProgress: int(l.GetInProgress()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()), Draining: l.GetDraining(),
+		Wait: time.Duration(l.GetWaitMs()) * time.Millisecond, Pace: float64(l.GetPacePercent()) / 100,
 	}
 }
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -24,6 +24,8 @@
 	RefusalDeadline    = "deadline"
 	RefusalCanceled    = "canceled"
 	RefusalUpstream    = "upstream"
+	// RefusalRejected means that the upstream was called and said that it didn't run the request.
+	RefusalRejected = "rejected"
 )
 
 // The kinds of failures. A request that failed was started, and its outcome is unknown.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -44,7 +45,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.session.Context(), r.remaining())
 	defer cancel()
-	if !r.head.GetRepeatable() {
+	if !r.head.GetRepeatable() && r.owner.opts.Keys != nil {
 		done, err := r.begin(ctx)
 		if done || err != nil {
 			return err
@@ -69,6 +70,9 @@
 		return refusal(RefusalUnsettled, "the owner has no configuration")
 	}
 	own, ok := c.TargetOn(o.opts.Host)
+	if o.opts.Dialect != nil {
+		return r.checkRegistered(own, ok)
+	}
 	switch {
 	case !ok || r.head.GetHost() != o.opts.Host:
 		return refusal(RefusalWrongTarget, "the target is not on this host")
@@ -84,6 +88,23 @@
 	return r.checkKey(c, own)
 }
 
+// checkRegistered refuses requests for a target that is known to leave. The sender may know of a later target on this
+// host than this daemon does; the upstream verifies then whether it is the one.
+func (r *run) checkRegistered(own cicadacross.Target, known bool) *peerpb.Refusal {
+	o := r.owner
+	switch {
+	case r.head.GetHost() != o.opts.Host:
+		return refusal(RefusalWrongTarget, "the target is not on this host")
+	case o.stopping():
+		return refusal(RefusalDraining, "the daemon is stopping")
+	case known && own.Name() == r.head.GetTarget() && o.Leaving():
+		return refusal(RefusalDraining, "the target takes no new work")
+	case r.remaining() <= 0:
+		return refusal(RefusalDeadline, "no time is left")
+	}
+	return nil
+}
+
 // checkKey refuses a keyed request whose key another target owns, or whose owner is in doubt.
 func (r *run) checkKey(c *cicadacross.Configuration, own cicadacross.Target) *peerpb.Refusal {
 	o := r.owner
@@ -145,6 +166,8 @@
 		Rank:       decodeRank(r.head),
 		Deadline:   r.deadline,
 		Repeatable: r.head.GetRepeatable(),
+		Returning:  r.head.GetReturning(),
+		Nested:     r.head.GetNested(),
 	}
 	if opts.Repeatable {
 		opts.Cancel = func() {
@@ -152,6 +175,12 @@
 			cancel()
 		}
 	}
+	if o.opts.Dialect != nil {
+		// The sender learns that the request has arrived, and needn't suspect the connection while it is queued.
+		if err := r.send(startedMessage(false)); err != nil {
+			return false, err
+		}
+	}
 	slot, err := o.opts.Admission.Acquire(ctx, cicadacross.NewWork(opts))
 	if err != nil {
 		return false, r.deny(StageAdmission, err)
@@ -238,7 +267,7 @@
 		conn.Release()
 		return r.notRun(refused, nil)
 	}
-	if err := r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Started{Started: true}}); err != nil {
+	if err := r.send(startedMessage(true)); err != nil {
 		conn.Release()
 		return r.notRun(nil, err)
 	}
@@ -256,9 +285,17 @@
 	if err != nil {
 		return r.callFailed(err)
 	}
+	if done, err := r.rejected(reply); done {
+		return err
+	}
 	return r.answer(reply)
 }
 
+// startedMessage says that the call of the upstream begins, or, when started is false, only that the request arrived.
+func startedMessage(started bool) *peerpb.ForwardReply {
+	return &peerpb.ForwardReply{Message: &peerpb.ForwardReply_Started{Started: started}}
+}
+
 func (r *run) lastCheck(ctx context.Context) *peerpb.Refusal {
 	switch {
 	case r.remaining() <= 0:
@@ -274,15 +311,27 @@
 
 func (r *run) call(body *upload) upstream.Call {
 	header := DecodeHeader(r.head.GetHeaders())
+	if dialect := r.owner.opts.Dialect; dialect != nil {
+		dialect.MarkCall(header, cicadacross.CallOptions{
+			ID: r.head.GetRequestId(), Target: r.head.GetTarget(), Remaining: r.remaining(),
+		})
+		return r.withBody(upstream.Call{
+			Method: r.head.GetMethod(), Path: r.head.GetPath(), Host: r.head.GetAuthority(), Header: header,
+			ID: r.head.GetRequestId(),
+		}, body)
+	}
 	header[cicadacross.HeaderTimeout] = []string{strconv.FormatInt(max(1, r.remaining().Milliseconds()), 10)}
 	header[cicadacross.HeaderDepth] = []string{strconv.FormatUint(uint64(r.head.GetDepth()), 10)}
 	header[cicadacross.HeaderRequestID] = []string{r.head.GetRequestId()}
 	if r.head.GetRank() != "" {
 		header[cicadacross.HeaderRank] = []string{r.head.GetRank()}
 	}
-	call := upstream.Call{
+	return r.withBody(upstream.Call{
 		Method: r.head.GetMethod(), Path: r.head.GetPath(), Host: r.head.GetService(), Header: header,
-	}
+	}, body)
+}
+
+func (r *run) withBody(call upstream.Call, body *upload) upstream.Call {
 	if !body.empty() {
 		call.Body, call.ContentLength, call.AbortBody = body, r.head.GetContentLength(), body.abort
 		call.Ready = r.head.GetComplete()
@@ -290,6 +339,29 @@
 	return call
 }
 
+// rejected answers when the upstream says that it didn't run the call, or when its answer can't be passed on.
+func (r *run) rejected(reply *upstream.Reply) (bool, error) {
+	dialect := r.owner.opts.Dialect
+	if dialect == nil {
+		return false, nil
+	}
+	signs := dialect.ReadReply(r.head.GetRequestId(), reply.Status, reply.Header)
+	switch {
+	case signs.NotRun:
+		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, HeadBody))
+		_ = reply.Body.Close()
+		reason := "the upstream did not run the request"
+		if signs.Misdirected {
+			reason = "another target has the address"
+		}
+		return true, r.notRun(refusal(RefusalRejected, reason), nil)
+	case signs.Invalid != "":
+		_ = reply.Body.Close()
+		return true, r.answerFailed(newError("answer", KindBroken, "%s", signs.Invalid))
+	}
+	return false, nil
+}
+
 // callFailed answers a call that ended without an answer of the upstream.
 func (r *run) callFailed(err error) error {
 	if !upstream.Begun(err) {
@@ -321,10 +393,14 @@
 }
 
 func decodeRank(head *peerpb.ForwardHead) cicadacross.Rank {
+	target := head.GetRankTargetMs()
+	if head.AimMs != nil {
+		target = max(1, head.GetAimMs())
+	}
 	return cicadacross.NewRank(cicadacross.RankOptions{
 		Name:    head.GetRank(),
 		Urgency: int(head.GetUrgency()),
-		Target:  time.Duration(head.GetRankTargetMs()) * time.Millisecond, // #nosec G115
+		Target:  time.Duration(target) * time.Millisecond, // #nosec G115
 		Worth:   head.GetWorth(),
 	})
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -17,6 +19,10 @@
 	// maxIdle is below the keep-alive limits that HTTP servers usually have (5 s and more), so that an idle connection
 	// is rarely closed by the upstream at the moment of its reuse.
 	maxIdle = 4 * time.Second
+	// idleMargin is taken from the idle time that the upstream announces, for the time on the way.
+	idleMargin = time.Second
+	// maxStray bounds the answers of other calls that are skipped on one connection.
+	maxStray = 4
 )
 
 // Connection is one connection to the upstream, reserved for one call. Exactly one of Do and Release must be called.
@@ -27,13 +33,17 @@
 	writer   *bufio.Writer
 	lastUsed time.Time
 	broken   bool // a write failed, or the upstream wants no further call
+	// idle is how long the connection may be kept without a call.
+	idle time.Duration
 }
 
 // Call is one request to the upstream.
 type Call struct {
 	Method string
 	// Path is the path and query as the caller sent them.
-	Path   string
+	Path string
+	// ID identifies the call in the upstream's answer, as the dialect reads it.
+	ID     string
 	Host   string
 	Header http.Header
 	// Body is nil when the request has none.
@@ -79,7 +89,7 @@
 		if c == nil {
 			return nil
 		}
-		if u.opts.Timers.Now().Sub(c.lastUsed) < maxIdle && c.usable() {
+		if u.opts.Timers.Now().Sub(c.lastUsed) < c.idle && c.usable() {
 			return c
 		}
 		c.shut()
@@ -119,7 +129,7 @@
 		c.Release()
 		return nil, err
 	}
-	x := &exchange{conn: c, ctx: ctx, started: c.upstream.opts.Timers.Now(), body: body}
+	x := &exchange{conn: c, ctx: ctx, started: c.upstream.opts.Timers.Now(), body: body, id: call.ID}
 	x.written, x.read = c.wire.written.Load(), c.wire.read.Load()
 	if call.AbortBody != nil {
 		c.wire.onClose.Store(&call.AbortBody)
@@ -129,7 +139,8 @@
 		return nil, x.fail("call", err)
 	}
 	c.upstream.observeReply(x.response.Header)
-	if err := checkReply(call.Method, x.response); err != nil {
+	c.observeIdle(x.response.Header)
+	if err := c.upstream.checkReply(call.Method, x.response); err != nil {
 		x.drop()
 		return nil, err
 	}
@@ -169,13 +180,28 @@
 	return request.WithContext(ctx), body, nil
 }
 
-// checkReply refuses answers whose end can't be told from a cut: those that end when the connection closes.
-func checkReply(method string, response *http.Response) error {
+// observeIdle takes the idle time that the upstream announces.
+func (c *Connection) observeIdle(header http.Header) {
+	_, after, found := strings.Cut(header.Get("Keep-Alive"), "timeout=")
+	if !found {
+		return
+	}
+	digits, _, _ := strings.Cut(after, ",")
+	announced, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil || announced <= 0 {
+		return
+	}
+	c.idle = max(time.Duration(announced)*time.Second-idleMargin, idleMargin/2)
+}
+
+// checkReply refuses answers whose end can't be told from a cut: those that end when the connection closes. An upstream
+// with a dialect may send them: its connections are reset, and not closed, when an answer breaks off.
+func (u *Upstream) checkReply(method string, response *http.Response) error {
 	if response.StatusCode < http.StatusOK {
 		return newError("call", KindBadReply, "unexpected status %d", response.StatusCode)
 	}
 	unbounded := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if unbounded && method != http.MethodHead {
+	if unbounded && method != http.MethodHead && u.opts.Dialect == nil {
 		return newError("call", KindBadReply, "the answer has neither a length nor chunks")
 	}
 	return nil
--- a/internal/upstream/crash.go
+++ b/internal/upstream/crash.go
@@ -55,6 +55,11 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
+	if d.upstream.opts.Dialect != nil {
+		// A probe would wait for a slot; a connection that is accepted says enough, and the next call uses it.
+		d.upstream.pool.put(c)
+		return false
+	}
 	defer c.shut()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.upstream.healthURL(), http.NoBody)
 	if err != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	conn     *Connection
 	ctx      context.Context
 	started  time.Time
+	id       string
 	written  int64
 	read     int64
 	body     *requestBody
@@ -37,13 +38,33 @@
 		// The upstream may have answered early and closed the connection.
 		x.conn.broken = true
 	}
-	if err := x.conn.receive(request, &x.response); err != nil {
+	if err := x.receive(request); err != nil {
 		return err
 	}
 	x.answer = x.response.Body
 	return nil
 }
 
+// receive reads the head of the answer. It skips late answers of earlier calls, which the dialect tells from that of
+// this call.
+func (x *exchange) receive(request *http.Request) error {
+	dialect := x.conn.upstream.opts.Dialect
+	for range maxStray {
+		if err := x.conn.receive(request, &x.response); err != nil {
+			return err
+		}
+		if dialect == nil || !dialect.ReadReply(x.id, x.response.StatusCode, x.response.Header).Stray {
+			return nil
+		}
+		_, err := io.Copy(io.Discard, x.response.Body)
+		_ = x.response.Body.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return newError("call", KindBadReply, "%d answers of other calls came", maxStray)
+}
+
 // run writes a request whose body arrives while the answer is awaited.
 func (x *exchange) run(request *http.Request) {
 	defer close(x.writing)
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -21,8 +21,10 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C():
-			u.pool.closeIdle(u.opts.Timers.Now().Add(-maxIdle))
-			u.Probe(ctx)
+			u.pool.closeExpired(u.opts.Timers.Now())
+			if u.opts.Dialect == nil {
+				u.Probe(ctx)
+			}
 		}
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -108,10 +108,19 @@
 
 // closeIdle closes the idle connections last used before the time.
 func (p *pool) closeIdle(before time.Time) {
+	p.closeWhere(func(c *Connection) bool { return c.lastUsed.Before(before) })
+}
+
+// closeExpired closes the connections that have been idle for as long as they may be.
+func (p *pool) closeExpired(now time.Time) {
+	p.closeWhere(func(c *Connection) bool { return now.Sub(c.lastUsed) >= c.idle })
+}
+
+func (p *pool) closeWhere(unwanted func(*Connection) bool) {
 	p.mu.Lock()
 	var old []*Connection
 	p.idle = slices.DeleteFunc(p.idle, func(c *Connection) bool {
-		if c.lastUsed.Before(before) {
+		if unwanted(c) {
 			old = append(old, c)
 			return true
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,6 +43,9 @@
 	HealthPath string
 	// HealthInterval is the time between two probes; 0 means 1 s.
 	HealthInterval time.Duration
+	// Dialect tells which answer belongs to a call; nil means that each answer belongs to the call before it, and that
+	// the upstream frames all its answers and is probed.
+	Dialect cicadacross.Dialect
 	// Logger takes changes of state. The zero value discards them.
 	Logger logr.Logger
 }
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -69,7 +69,7 @@
 	}
 	w := &wire{Conn: conn}
 	return &Connection{
-		upstream: u, wire: w, lastUsed: u.opts.Timers.Now(),
+		upstream: u, wire: w, lastUsed: u.opts.Timers.Now(), idle: maxIdle,
 		reader: bufio.NewReaderSize(w, bufferSize), writer: bufio.NewWriterSize(w, bufferSize),
 	}, nil
 }
--- a/route.go
+++ b/route.go
@@ -14,8 +14,34 @@
 	Rank       Rank
 	Repeatable bool
 	Timeout    time.Duration
+	// Authority is the name by which callers address the route in the Host header; "" means the name of the service.
+	Authority string
+	// Backends splits the requests among several services; empty means that all go to Service.
+	Backends []Backend
+	// Attempts is the largest number of targets to which one request may be sent; 0 means 3.
+	Attempts int
+	// Bulky marks requests with large bodies.
+	Bulky bool
 }
 
+// defaultAttempts is the first attempt and at most 2 further ones.
+const defaultAttempts = 3
+
+// Backend is one service of a split route with its share of the requests.
+type Backend struct {
+	service string
+	weight  int
+}
+
+// NewBackend returns a backend; weight is relative to the sum of the route's weights and not below 0.
+func NewBackend(service string, weight int) Backend { return Backend{service: service, weight: weight} }
+
+// Service returns the name of the service.
+func (b Backend) Service() string { return b.service }
+
+// Weight returns the share of the requests, relative to the sum of the route's weights.
+func (b Backend) Weight() int { return b.weight }
+
 // Route says how requests for one service, method and path prefix are treated. Each route is one kind of work.
 type Route struct {
 	opts RouteOptions
@@ -45,6 +71,24 @@
 // Timeout returns the time limit of a request whose caller gives none, above 0.
 func (r Route) Timeout() time.Duration { return r.opts.Timeout }
 
+// Authority returns the name by which callers address the route, or "" for the name of the service.
+func (r Route) Authority() string { return r.opts.Authority }
+
+// Backends returns the services among which the requests are split, or nothing when all go to Service. The caller must
+// not change the slice.
+func (r Route) Backends() []Backend { return r.opts.Backends }
+
+// Attempts returns the largest number of targets to which one request may be sent, at least 1.
+func (r Route) Attempts() int {
+	if r.opts.Attempts <= 0 {
+		return defaultAttempts
+	}
+	return r.opts.Attempts
+}
+
+// Bulky reports whether the requests have large bodies.
+func (r Route) Bulky() bool { return r.opts.Bulky }
+
 // Matches reports whether the route takes a request with the method and path. A prefix matches whole path segments:
 // "/lots" matches "/lots" and "/lots/7" and not "/lotsize".
 func (r Route) Matches(method, path string) bool {
--- a/target.go
+++ b/target.go
@@ -1,5 +1,7 @@
 package cicadacross
 
+import "time"
+
 // TargetOptions lists the fields of a target as the register gives them. Addresses are IP:port.
 type TargetOptions struct {
 	Name             string
@@ -13,6 +15,8 @@
 	Operator         string
 	Slots            int
 	Connections      int
+	// WarmAt is the time from which a target that has just started runs at full speed; the zero time means that it does.
+	WarmAt time.Time
 }
 
 // Target is one upstream of a service together with the daemon on its host.
@@ -55,3 +59,6 @@
 
 // Connections returns how many connections the upstream accepts, at least 1.
 func (t Target) Connections() int { return t.opts.Connections }
+
+// WarmAt returns the time from which the target runs at full speed, or the zero time when it does.
+func (t Target) WarmAt() time.Time { return t.opts.WarmAt }
