admission, balance: wait by rank and target time, place by expected answer

Change: policy aim and balancer swift; owners tell expected wait and work with each answer. One watch for all records of the registry, doubted after it was cut; the fleet's retry budget counts repeated calls.

--- a/admission.go
+++ b/admission.go
@@ -17,9 +17,14 @@
 	Draining bool
 	// Wait estimates how long a new request waits for a slot.
 	Wait time.Duration
-	// Pace is the time that the target takes for a request relative to the time that all targets take for requests of
-	// the same kind; 0 means unknown.
-	Pace float64
+	// Work estimates how long the target takes for a request of the kind; 0 means unknown.
+	Work time.Duration
+}
+
+// Estimator is an admission policy that estimates times.
+type Estimator interface {
+	// Estimate returns the present load with the times for a new request of the kind.
+	Estimate(kind string) Load
 }
 
 // WorkOptions lists what admission knows of a request.
@@ -32,6 +37,8 @@
 	Repeatable bool
 	// Returning marks a request that was refused before and came back.
 	Returning bool
+	// OnTimeOnly asks for a refusal when the answer would be late.
+	OnTimeOnly bool
 	// Nested marks a call that a running request waits for.
 	Nested bool
 	// Cancel ends the request while it is in progress, so that more urgent work gets its slot; nil when it can't be ended.
@@ -64,6 +71,9 @@
 // Returning reports whether the request was refused before and came back.
 func (w Work) Returning() bool { return w.opts.Returning }
 
+// OnTimeOnly reports whether the request is to be refused when the answer would be late.
+func (w Work) OnTimeOnly() bool { return w.opts.OnTimeOnly }
+
 // Nested reports whether a running request waits for the answer.
 func (w Work) Nested() bool { return w.opts.Nested }
 
--- a/balancer.go
+++ b/balancer.go
@@ -35,4 +35,8 @@
 type Placer interface {
 	// Place returns one of the candidates, or false when there are none.
 	Place(request Placement, candidates []Target) (Target, bool)
+	// Report takes the load that the owner of the host told with the answer to a request of the kind.
+	Report(host, kind string, load Load)
+	// Judge counts one call of the host's upstream that was answered, or that was rejected or failed.
+	Judge(host string, answered bool)
 }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -62,6 +62,24 @@
 	return cicadacross.Load{InProgress: len(g.running), Queued: g.queued, Slots: g.slots}
 }
 
+// estimator is a discipline that estimates the times of a new request.
+type estimator interface {
+	// estimate returns how long a new request waits and how long one of the kind takes; 0 when that is unknown.
+	estimate(now time.Time, kind string) (wait, work time.Duration)
+}
+
+// Estimate returns the load with the times that a new request of the kind is expected to wait and to take; they are 0
+// when the policy doesn't estimate them.
+func (g *Gate) Estimate(kind string) cicadacross.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load := cicadacross.Load{InProgress: len(g.running), Queued: g.queued, Slots: g.slots}
+	if e, ok := g.discipline.(estimator); ok {
+		load.Wait, load.Work = e.estimate(g.timers.Now(), kind)
+	}
+	return load
+}
+
 // Resize changes the number of slots, at least 1; requests in progress keep theirs.
 func (g *Gate) Resize(slots int) {
 	g.mu.Lock()
--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -42,6 +42,8 @@
 
 	inProgress int
 	seen       time.Time
+	// measuredAt is when a request of the kind last ended.
+	measuredAt time.Time
 
 	// service and deviation are averages of the service time and of its distance from the average; 0 when unknown.
 	service   time.Duration
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -123,8 +123,8 @@
 			Sources: cli.EnvVars(environmentName("seeds")), Destination: &s.Seeds,
 		},
 		text("fleet-key", "secret that all daemons share; give it as environment variable", "", &s.FleetKey),
-		text("admission", "admission policy: share, fifo or priority", defaults.Admission, &s.Admission),
-		text("balancer", "choice of target: least or roundrobin", defaults.Balancer, &s.Balancer),
+		text("admission", "admission policy: share, aim, fifo or priority", defaults.Admission, &s.Admission),
+		text("balancer", "choice of target: least, swift or roundrobin", defaults.Balancer, &s.Balancer),
 		text("readers", "daemons that watch the source: zone (a few in each zone) or all", defaults.Readers,
 			&s.Readers),
 		text("log-level", "lowest level that is logged: debug, info, warn or error", defaults.LogLevel,
@@ -191,7 +191,7 @@
 		check.fault("fleet-key", "has %d bytes; give at least %d", len(s.FleetKey), peer.MinKeyLength)
 	}
 	check.oneOf("admission", s.Admission, "share", "fifo", "priority", "aim")
-	check.oneOf("balancer", s.Balancer, "least", "roundrobin")
+	check.oneOf("balancer", s.Balancer, "least", "roundrobin", "swift")
 	check.oneOf("readers", s.Readers, ReadersZone, ReadersAll)
 	check.oneOf("log-level", s.LogLevel, "debug", "info", "warn", "error")
 	check.inRange("max-queue", s.MaxQueue, 1, maxQueueLimit)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,13 +60,12 @@
 	started time.Time
 	current atomic.Pointer[cicadacross.Configuration]
 	status  atomic.Pointer[progress]
-	// completed is a copy of the replica's revisions for goroutines that begin to follow another daemon.
-	completed atomic.Pointer[map[string]cicadacross.Revision]
+	// completed is a copy of the replica's revision for other goroutines; 0 when nothing is known.
+	completed atomic.Uint64
 	draining  atomic.Bool
 	hub       hub
 	election  election
-	// lost counts the readers whose last call failed.
-	lost atomic.Int32
+	reader    reader
 
 	changes  metrics.Counter
 	rejected metrics.Counter
@@ -103,9 +101,9 @@
 	}
 	d.view = newView(&d.opts)
 	d.status.Store(&progress{})
-	d.completed.Store(&map[string]cicadacross.Revision{})
 	d.hub.init(d)
 	d.election.init(d)
+	d.reader.discovery = d
 	return d, nil
 }
 
@@ -115,7 +113,7 @@
 	d.cancel = cancel
 	d.stopped.Add(1)
 	go d.run(ctx)
-	d.startReaders(ctx)
+	d.startReading(ctx)
 	d.startFollowing(ctx)
 }
 
@@ -143,11 +141,6 @@
 // SetDraining says whether this daemon is about to stop.
 func (d *Discovery) SetDraining(draining bool) { d.draining.Store(draining) }
 
-// prefixes are the parts of the registry that daemons follow.
-func (d *Discovery) prefixes() [2]string {
-	return [2]string{d.opts.Format.RoutingKey(), d.opts.Format.InstancePrefix()}
-}
-
 // run is the control goroutine: it alone changes the replica and builds configurations.
 func (d *Discovery) run(ctx context.Context) {
 	defer d.stopped.Done()
@@ -196,8 +189,7 @@
 	s := *d.status.Load()
 	s.confirmed = d.replica.confirmed
 	d.status.Store(&s)
-	complete := maps.Clone(d.replica.complete)
-	d.completed.Store(&complete)
+	d.completed.Store(uint64(d.replica.complete))
 	if len(changed) == 0 {
 		return
 	}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -42,9 +41,6 @@
 	f := &following{discovery: d, streams: make(map[string]context.CancelFunc)}
 	d.stopped.Add(1)
 	go f.run(ctx)
-	p := &pinger{discovery: d}
-	d.stopped.Add(1)
-	go p.run(ctx)
 }
 
 func (f *following) run(ctx context.Context) {
@@ -135,7 +131,10 @@
 		return err
 	}
 	request := &peerpb.FollowRequest{
-		Host: d.opts.Host, AvailabilityZone: d.opts.AvailabilityZone, Held: d.held(),
+		Host: d.opts.Host, AvailabilityZone: d.opts.AvailabilityZone,
+	}
+	if held := d.completed.Load(); held > 0 {
+		request.Held = &held
 	}
 	stream, err := peerpb.NewReplicationClient(conn).Follow(ctx, request)
 	if err != nil {
@@ -157,36 +156,22 @@
 // take passes a frame to the control goroutine.
 func (s *source) take(ctx context.Context, frame *peerpb.FollowFrame) {
 	d := s.following.discovery
-	if frame.ConfirmedAgeMs == nil {
+	if frame.ConfirmedAgeMs == nil || frame.GetComplete() == 0 {
 		return
 	}
 	age := duration(frame.GetConfirmedAgeMs())
 	if frame.GetReader() {
 		d.election.told(s.host, age)
 	}
-	for _, prefix := range d.prefixes() {
-		revision, ok := frame.GetComplete()[prefix]
-		if !ok {
-			continue
-		}
-		u := update{prefix: prefix, whole: frame.GetWhole(), age: age, ages: []time.Duration{}}
-		u.changes.Revision = cicadacross.Revision(revision)
-		for _, r := range frame.GetRecords() {
-			if !hasPrefix(r.GetKey(), prefix) {
-				continue
-			}
-			u.changes.Records = append(u.changes.Records, cicadacross.Record{
-				Key: r.GetKey(), Value: r.GetValue(), Revision: cicadacross.Revision(r.GetRevision()),
-				Removed: r.GetRemoved(),
-			})
-			u.ages = append(u.ages, duration(r.GetAgeMs()))
-		}
-		d.send(ctx, u)
+	u := update{whole: frame.GetWhole(), age: age, ages: []time.Duration{}}
+	u.changes.Revision = cicadacross.Revision(frame.GetComplete())
+	for _, r := range frame.GetRecords() {
+		u.changes.Records = append(u.changes.Records, cicadacross.Record{
+			Key: r.GetKey(), Value: r.GetValue(), Revision: cicadacross.Revision(r.GetRevision()), Removed: r.GetRemoved(),
+		})
+		u.ages = append(u.ages, duration(r.GetAgeMs()))
 	}
-}
-
-func hasPrefix(key, prefix string) bool {
-	return len(key) >= len(prefix) && key[:len(prefix)] == prefix
+	d.send(ctx, u)
 }
 
 func duration(ms uint64) time.Duration {
@@ -224,40 +209,6 @@
 	}
 }
 
-// pinger looks whether the registry answers while this daemon is elected.
-type pinger struct{ discovery *Discovery }
-
-func (p *pinger) run(ctx context.Context) {
-	d := p.discovery
-	defer d.stopped.Done()
-	t := d.opts.Timers.Every(pingInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C():
-		}
-		if d.Configuration() == nil || !d.election.elected() {
-			continue
-		}
-		if err := d.opts.Registry.Ping(ctx); err != nil || d.lost.Load() > 0 {
-			continue
-		}
-		d.election.heard()
-		d.send(ctx, update{})
-	}
-}
-
-// held returns the revisions up to which this daemon lacks nothing.
-func (d *Discovery) held() map[string]uint64 {
-	held := make(map[string]uint64)
-	for prefix, revision := range *d.completed.Load() {
-		held[prefix] = uint64(revision)
-	}
-	return held
-}
-
 func (d *Discovery) peerAddress(host string) string {
 	return net.JoinHostPort(host, strconv.Itoa(int(d.opts.PeerPort)))
 }
@@ -295,5 +246,3 @@
 		w.discovery.opts.Log.V(1).Info("suspects not told", "peer", w.address, "reason", err.Error())
 	}
 }
-
-func (d *Discovery) jitter() float64 { return rand.Float64() } // #nosec G404 -- no secret
--- a/internal/discovery/hub.go
+++ b/internal/discovery/hub.go
@@ -37,8 +37,9 @@
 
 // followRequest asks the control goroutine for what another daemon lacks.
 type followRequest struct {
-	host   string
-	held   map[string]uint64
+	host string
+	// held is the revision up to which the daemon lacks nothing; nil when it holds nothing.
+	held   *uint64
 	answer chan *follower
 }
 
@@ -59,7 +60,7 @@
 	request *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowFrame],
 ) error {
 	ctx := stream.Context()
-	ask := &followRequest{host: request.GetHost(), held: request.GetHeld(), answer: make(chan *follower, 1)}
+	ask := &followRequest{host: request.GetHost(), held: request.Held, answer: make(chan *follower, 1)}
 	select {
 	case d.hub.requests <- ask:
 	case <-ctx.Done():
@@ -98,20 +99,14 @@
 	f := &follower{host: request.host, frames: make(chan *peerpb.FollowFrame, frameQueue)}
 	frame := d.frame()
 	now := d.opts.Timers.Now()
-	for _, prefix := range d.prefixes() {
-		if _, held := request.held[prefix]; !held {
-			frame.Whole = true
-		}
+	after := cicadacross.Revision(0)
+	if request.held != nil {
+		after = cicadacross.Revision(*request.held)
 	}
-	for _, prefix := range d.prefixes() {
-		after := request.held[prefix]
-		if frame.Whole {
-			after = 0
-		}
-		u := d.replica.since(now, prefix, cicadacross.Revision(after))
-		for i, record := range u.changes.Records {
-			frame.Records = append(frame.Records, encodeRecord(record, u.ages[i]))
-		}
+	frame.Whole = after == 0
+	u := d.replica.since(now, after)
+	for i, record := range u.changes.Records {
+		frame.Records = append(frame.Records, encodeRecord(record, u.ages[i]))
 	}
 	d.hub.followers[f] = true
 	f.frames <- frame
@@ -140,10 +135,7 @@
 // frame returns a frame without records.
 func (d *Discovery) frame() *peerpb.FollowFrame {
 	now := d.opts.Timers.Now()
-	frame := &peerpb.FollowFrame{Complete: make(map[string]uint64), Reader: d.election.reading(now)}
-	for prefix, revision := range d.replica.complete {
-		frame.Complete[prefix] = uint64(revision)
-	}
+	frame := &peerpb.FollowFrame{Complete: uint64(d.replica.complete), Reader: d.election.reading(now)}
 	if !d.replica.confirmed.IsZero() {
 		age := milliseconds(now.Sub(d.replica.confirmed))
 		frame.ConfirmedAgeMs = &age
--- a/internal/discovery/reader.go
+++ b/internal/discovery/reader.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"cicadacross"
@@ -10,11 +13,15 @@
 const (
 	// watchWait is the longest wait of one watch. Pings tell of an outage sooner, and each watch counts as a call.
 	watchWait = 10 * time.Second
+	// doubtWait is the wait of a watch, and doubtTime how long it is used, after a watch was cut or changes were
+	// forgotten: the next watch may be cut without a sign too.
+	doubtWait = 700 * time.Millisecond
+	doubtTime = 15 * time.Second
 	// pingInterval is the time between two looks whether the registry answers. Daemons take over within confirmLimit.
 	pingInterval = 500 * time.Millisecond
-	// instancePace is the shortest time between two watches of instances, each of which counts as a call. A target that
-	// leaves must get no work after the 2 s that the platform sets as its shortest bound.
-	instancePace = 400 * time.Millisecond
+	// watchPace is the shortest time between two watches, each of which counts as a call. A target that leaves must get
+	// no work after the 2 s that the platform sets as its shortest bound.
+	watchPace = 400 * time.Millisecond
 	// retryMin and retryMax bound the wait after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
@@ -22,37 +29,36 @@
 	retryJitter = 0.5
 )
 
-// reader watches one prefix of the registry while this daemon is elected.
+// reader watches the registry while this daemon is elected.
 type reader struct {
 	discovery *Discovery
-	prefix    string
-	pace      time.Duration
-	// revision is where the next watch begins; 0 means that a listing is needed.
-	revision cicadacross.Revision
+	failures  int
 	// relist says that the history was lost, so that only a listing tells what changed.
-	relist   bool
-	failures int
-	lost     bool
+	relist bool
+	// doubted is when the registry last failed to tell of a change.
+	doubted time.Time
+	// position is the revision up to which watches told of all changes.
+	position atomic.Uint64
+	// lost says that the last call failed.
+	lost atomic.Bool
+
+	mu sync.Mutex
+	// interrupt ends the pending watch; nil when there is none.
+	interrupt context.CancelFunc
 }
 
-func (d *Discovery) startReaders(ctx context.Context) {
-	for _, prefix := range d.prefixes() {
-		r := &reader{discovery: d, prefix: prefix}
-		if prefix == d.opts.Format.InstancePrefix() {
-			r.pace = instancePace
-		}
-		d.stopped.Add(1)
-		go r.run(ctx)
-	}
+func (d *Discovery) startReading(ctx context.Context) {
+	d.stopped.Add(2)
+	go d.reader.run(ctx)
+	p := &pinger{reader: &d.reader}
+	go p.run(ctx)
 }
 
 func (r *reader) run(ctx context.Context) {
-	defer r.discovery.stopped.Done()
-	for ctx.Err() == nil {
-		if !r.discovery.election.wait(ctx) {
-			return
-		}
-		began := r.discovery.opts.Timers.Now()
+	d := r.discovery
+	defer d.stopped.Done()
+	for d.election.wait(ctx) {
+		began := d.opts.Timers.Now()
 		err := r.read(ctx)
 		if ctx.Err() != nil {
 			return
@@ -62,7 +68,9 @@
 			r.pause(ctx, r.retryWait())
 			continue
 		}
-		r.pause(ctx, r.pace-r.discovery.opts.Timers.Now().Sub(began))
+		if !r.relist {
+			r.pause(ctx, watchPace-d.opts.Timers.Now().Sub(began))
+		}
 	}
 }
 
@@ -70,59 +78,84 @@
 func (r *reader) read(ctx context.Context) error {
 	d := r.discovery
 	began := d.opts.Timers.Now()
-	if r.revision > 0 {
-		// Other daemons may have told of later changes while this one didn't read.
-		r.revision = max(r.revision, (*d.completed.Load())[r.prefix])
-	} else if !r.relist {
-		r.revision = (*d.completed.Load())[r.prefix]
-	}
-	if r.revision == 0 {
-		changes, err := d.opts.Registry.List(ctx, r.prefix)
+	// Other daemons may have told of later changes while this one didn't read.
+	after := cicadacross.Revision(max(r.position.Load(), d.completed.Load()))
+	if after == 0 || r.relist {
+		changes, err := d.opts.Registry.List(ctx)
 		if err != nil {
 			return err
 		}
-		r.revision, r.relist = changes.Revision, false
-		d.send(ctx, update{prefix: r.prefix, changes: changes, whole: true, age: d.opts.Timers.Now().Sub(began)})
+		r.relist = false
+		r.position.Store(uint64(changes.Revision))
+		d.send(ctx, update{changes: changes, whole: true, age: d.opts.Timers.Now().Sub(began)})
 		return nil
 	}
-	changes, err := d.opts.Registry.Watch(ctx, r.prefix, r.revision, watchWait)
+	r.position.Store(uint64(after))
+	changes, err := r.watch(ctx, after)
 	if err != nil {
 		if d.opts.Registry.IsHistoryLost(err) {
-			d.opts.Log.Info("the registry forgot changes; all records are read again", "prefix", r.prefix,
-				"revision", uint64(r.revision))
-			r.revision, r.relist = 0, true
+			d.opts.Log.Info("the registry forgot changes; all records are read again", "revision", uint64(after))
+			r.relist, r.doubted = true, d.opts.Timers.Now()
 			return nil
 		}
 		return err
 	}
-	r.revision = max(r.revision, changes.Revision)
-	d.send(ctx, update{prefix: r.prefix, changes: changes})
+	if len(changes.Records) == 0 && changes.Revision > after {
+		d.opts.Log.Info("a watch of the registry told of no change although there was one; all records are read again",
+			"position", uint64(after), "revision", uint64(changes.Revision))
+		r.relist, r.doubted = true, d.opts.Timers.Now()
+		return nil
+	}
+	r.position.Store(uint64(max(after, changes.Revision)))
+	d.send(ctx, update{changes: changes})
 	return nil
 }
 
+// watch makes one call that the pinger may interrupt. An interrupted watch tells of no change.
+func (r *reader) watch(ctx context.Context, after cicadacross.Revision) (cicadacross.Changes, error) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.interrupt = cancel
+	r.mu.Unlock()
+	changes, err := r.discovery.opts.Registry.Watch(watchCtx, after, r.waitTime())
+	r.mu.Lock()
+	r.interrupt = nil
+	r.mu.Unlock()
+	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		r.doubted = r.discovery.opts.Timers.Now()
+		return cicadacross.Changes{Revision: after}, nil
+	}
+	return changes, err
+}
+
+func (r *reader) waitTime() time.Duration {
+	if r.doubted.IsZero() || r.discovery.opts.Timers.Now().Sub(r.doubted) > doubtTime {
+		return watchWait
+	}
+	return doubtWait
+}
+
 // note logs the loss and the return of the registry.
 func (r *reader) note(err error) {
 	log := r.discovery.opts.Log
 	if err == nil {
-		if r.lost {
-			log.Info("the registry answers again", "prefix", r.prefix, "failures", r.failures)
-			r.discovery.lost.Add(-1)
+		if r.lost.Swap(false) {
+			log.Info("the registry answers again", "failures", r.failures)
 		}
-		r.failures, r.lost = 0, false
+		r.failures = 0
 		r.discovery.election.heard()
 		return
 	}
 	r.failures++
-	if !r.lost {
-		r.lost = true
-		r.discovery.lost.Add(1)
-		log.Info("the registry does not answer", "prefix", r.prefix, "reason", err.Error())
+	if !r.lost.Swap(true) {
+		log.Info("the registry does not answer", "reason", err.Error())
 	}
 }
 
 func (r *reader) retryWait() time.Duration {
 	wait := min(retryMin<<min(r.failures, 5), retryMax)
-	return wait + time.Duration(retryJitter*r.discovery.jitter()*float64(wait))
+	return wait + time.Duration(retryJitter*rand.Float64()*float64(wait)) // #nosec G404 -- jitter
 }
 
 func (r *reader) pause(ctx context.Context, d time.Duration) {
@@ -136,3 +169,66 @@
 	case <-ctx.Done():
 	}
 }
+
+// pinger looks whether the registry answers while this daemon is elected. A pending watch can be cut without a sign and
+// then tells of nothing; a ping whose revision is ahead of the watch twice in a row shows that.
+type pinger struct {
+	reader *reader
+	// ahead says that the last ping was ahead of the watch at the position.
+	ahead    bool
+	position uint64
+}
+
+func (p *pinger) run(ctx context.Context) {
+	d := p.reader.discovery
+	defer d.stopped.Done()
+	t := d.opts.Timers.Every(pingInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C():
+		}
+		if d.Configuration() != nil && d.election.elected() {
+			p.ping(ctx)
+		}
+	}
+}
+
+func (p *pinger) ping(ctx context.Context) {
+	d := p.reader.discovery
+	began := d.opts.Timers.Now()
+	revision, err := d.opts.Registry.Ping(ctx)
+	if err != nil {
+		d.opts.Log.V(1).Info("the registry does not answer a ping", "reason", err.Error())
+		return
+	}
+	position := p.reader.position.Load()
+	known := max(position, d.completed.Load())
+	if max(uint64(revision), known) > position {
+		if p.ahead && p.position == position {
+			p.reader.cut(max(uint64(revision), known))
+		}
+		p.ahead, p.position = true, position
+		return
+	}
+	p.ahead = false
+	// An answer behind what is known comes from a copy that lags, and confirms nothing.
+	if uint64(revision) == known && !p.reader.lost.Load() {
+		d.election.heard()
+		d.send(ctx, update{age: d.opts.Timers.Now().Sub(began)})
+	}
+}
+
+// cut ends the pending watch, so that the next one tells what it missed.
+func (r *reader) cut(revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.interrupt == nil {
+		return
+	}
+	r.discovery.opts.Log.Info("a watch of the registry was cut without a sign", "position", r.position.Load(),
+		"revision", revision)
+	r.interrupt()
+}
--- a/internal/discovery/replica.go
+++ b/internal/discovery/replica.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"strings"
 	"time"
 
 	"cicadacross"
@@ -27,14 +26,12 @@
 	value       []byte
 }
 
-// update is a set of records from the registry or from another daemon. Without a prefix it only confirms that nothing
-// has changed.
+// update is a set of records from the registry or from another daemon.
 type update struct {
-	prefix  string
 	changes cicadacross.Changes
 	// ages holds, for records of another daemon, how long it has known each; nil means that all are new.
 	ages []time.Duration
-	// whole says that records under the prefix that the update doesn't hold are gone.
+	// whole says that records that the update doesn't hold are gone.
 	whole bool
 	// age is the time since the registry confirmed that the records are complete.
 	age time.Duration
@@ -44,8 +41,8 @@
 // and in any order. Only the control goroutine uses it.
 type replica struct {
 	records map[string]*held
-	// complete is, for each prefix, the revision up to which no record is missing.
-	complete map[string]cicadacross.Revision
+	// complete is the revision up to which no record is missing; 0 when nothing is known.
+	complete cicadacross.Revision
 	// confirmed is the last time at which the registry was known to have no further change.
 	confirmed time.Time
 	// returned is the time at which the last outage ended.
@@ -53,7 +50,7 @@
 }
 
 func newReplica() *replica {
-	return &replica{records: make(map[string]*held), complete: make(map[string]cicadacross.Revision)}
+	return &replica{records: make(map[string]*held)}
 }
 
 // confirm notes that the registry was heard at the time.
@@ -70,9 +67,6 @@
 // merge takes an update and returns the records that changed.
 func (r *replica) merge(now time.Time, u update) []cicadacross.Record {
 	r.confirm(now, now.Add(-u.age))
-	if u.prefix == "" {
-		return nil
-	}
 	var changed []cicadacross.Record
 	present := make(map[string]bool, len(u.changes.Records))
 	for i, record := range u.changes.Records {
@@ -88,7 +82,7 @@
 	if u.whole {
 		changed = append(changed, r.removeAbsent(now, u, present)...)
 	}
-	r.complete[u.prefix] = max(r.complete[u.prefix], u.changes.Revision)
+	r.complete = max(r.complete, u.changes.Revision)
 	return changed
 }
 
@@ -117,8 +111,7 @@
 func (r *replica) removeAbsent(now time.Time, u update, present map[string]bool) []cicadacross.Record {
 	var removed []cicadacross.Record
 	for key, h := range r.records {
-		if !strings.HasPrefix(key, u.prefix) || present[key] || h.record.Removed ||
-			h.record.Revision > u.changes.Revision {
+		if present[key] || h.record.Removed || h.record.Revision > u.changes.Revision {
 			continue
 		}
 		gone := cicadacross.Record{Key: key, Revision: u.changes.Revision, Removed: true}
@@ -129,7 +122,7 @@
 	return removed
 }
 
-// value returns what a record says at present, or false when it is gone.
+// present returns what a record says at present, or false when it is gone.
 func (h *held) present(now time.Time) (cicadacross.Record, bool) {
 	if !h.record.Removed {
 		return h.record, true
@@ -160,12 +153,12 @@
 	}
 }
 
-// since returns the records under the prefix that changed after the revision, and how long each has been known.
-func (r *replica) since(now time.Time, prefix string, after cicadacross.Revision) update {
-	u := update{prefix: prefix}
-	u.changes.Revision = r.complete[prefix]
-	for key, h := range r.records {
-		if strings.HasPrefix(key, prefix) && h.record.Revision > after {
+// since returns the records that changed after the revision, and how long each has been known.
+func (r *replica) since(now time.Time, after cicadacross.Revision) update {
+	var u update
+	u.changes.Revision = r.complete
+	for _, h := range r.records {
+		if h.record.Revision > after {
 			u.changes.Records = append(u.changes.Records, h.record)
 			u.ages = append(u.ages, now.Sub(h.learned))
 		}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -25,6 +25,8 @@
 	ctx    context.Context
 	upload *uploader // nil until the owner started a request whose body is not at hand
 	total  int64
+	// lastAttempt says that no other one follows, so that each answer is passed on.
+	lastAttempt bool
 	// ack watches over the time in which the owner must say that the request has arrived; nil without a dialect.
 	ack *acknowledgement
 }
@@ -53,6 +55,9 @@
 			}
 		case *peerpb.ForwardReply_Refusal:
 			a.observe(m.Refusal.GetLoad())
+			if m.Refusal.GetKind() == relay.RefusalRejected {
+				a.judge(false)
+			}
 			if m.Refusal.GetKind() == relay.RefusalUpstream {
 				// Without this, the fast refusals of a dead upstream make it look like the least loaded one.
 				a.server.evidence.observe(a.target.Host(), false)
@@ -61,6 +66,7 @@
 		case *peerpb.ForwardReply_Failure:
 			a.observe(m.Failure.GetLoad())
 			a.learnSuspects(m.Failure.GetSuspects())
+			a.judge(false)
 			if m.Failure.GetKind() == relay.FailureCrashed {
 				a.server.evidence.observe(a.target.Host(), false)
 			}
@@ -98,7 +104,11 @@
 		return
 	}
 	l := relay.DecodeLoad(load)
-	a.server.opts.Balancer.Observe(a.target.Host(), l)
+	if placer := a.server.opts.Placer; placer != nil {
+		placer.Report(a.target.Host(), a.q.route.Name(), l)
+	} else {
+		a.server.opts.Balancer.Observe(a.target.Host(), l)
+	}
 	a.server.evidence.observe(a.target.Host(), !l.Draining)
 }
 
@@ -115,6 +125,10 @@
 	if head.GetStatus() < http.StatusOK || head.GetStatus() > 999 {
 		return unknown(http.StatusBadGateway, relay.FailureBroken, "the answer has no valid status"), nil
 	}
+	a.judge(head.GetStatus() < http.StatusInternalServerError)
+	if fault := a.failedHead(head); fault != nil {
+		return fault, nil
+	}
 	a.writeHead(head)
 	if head.GetEnd() != nil {
 		return nil, a.finish(head.GetBody(), head.GetEnd())
@@ -128,6 +142,25 @@
 	return nil, a.passRest(head)
 }
 
+// judge tells the placer how a call of the upstream went.
+func (a *attempt) judge(answered bool) {
+	if a.server.opts.Placer != nil {
+		a.server.opts.Placer.Judge(a.target.Host(), answered)
+	}
+}
+
+// failedHead returns a fault for an answer that says that the upstream failed, when another attempt may do better.
+func (a *attempt) failedHead(head *peerpb.ReplyHead) *refused {
+	if a.server.opts.Dialect == nil || a.lastAttempt || head.GetStatus() != http.StatusInternalServerError {
+		return nil
+	}
+	fault := unknown(http.StatusBadGateway, reasonFailed, "the upstream failed")
+	if !a.server.markedRetryable(a.q, fault) || !a.server.budget.Retry(a.q.service.Name()) {
+		return nil
+	}
+	return fault
+}
+
 func (a *attempt) passRest(head *peerpb.ReplyHead) error {
 	for {
 		m, err := a.stream.Recv()
--- a/internal/ingress/fleetbudget.go
+++ b/internal/ingress/fleetbudget.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// budgetUse is the part of the fleet's budget that is used, since daemons count apart and their number changes.
-	budgetUse = 0.7
+	// budgetUse is the part of the budget that is used. A repeated run repeats its calls too, which count at the service
+	// that is called: with up to one call for each run, half of the budget keeps both within it.
+	budgetUse = 0.45
 	// budgetSteps is the number of parts into which the window is divided.
 	budgetSteps = 10
 )
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -110,18 +110,19 @@
 	if s.opts.Quarantine.Blocked(q.fingerprint) {
 		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
 	}
-	var tried []string
+	search := search{onTime: s.opts.Dialect != nil, late: q.returning || q.nested}
 	var last *refused
-	for n := 0; n < s.attempts(q) && len(tried) < s.maxTried(); {
-		target, fault := s.next(q, tried, last)
+	for n := 0; n < s.attempts(q) && search.asked < s.maxAsked(); {
+		target, fault := s.next(q, search.tried, last)
 		if fault != nil {
 			return fault, nil
 		}
 		head := s.head(q, target, headers)
 		head.Attempt = uint32(n) // #nosec G115
+		head.OnTimeOnly = search.onTime
 		var err error
-		last, err = s.attempt(w, q, target, head)
-		if last == nil || !last.free() && !(s.opts.Dialect != nil && last.unsent()) {
+		last, err = s.attempt(w, q, target, head, n+1 >= s.attempts(q))
+		if last == nil || !s.unbudgeted(last) {
 			n++
 		}
 		q.mayHaveRun = q.mayHaveRun || last == nil || last.outcome != cicadacross.OutcomeNotRun
@@ -135,11 +136,37 @@
 			}
 			continue
 		}
-		tried = append(tried, target.Host())
+		search.note(target.Host(), last, len(q.service.Targets()))
 	}
 	return last, nil
 }
 
+// search is the state of the search for a target that serves a request.
+type search struct {
+	// tried holds the hosts that aren't asked again, full those among them that only had no slot in time.
+	tried []string
+	full  int
+	asked int
+	// onTime asks owners to refuse what they would serve late. When some have, one is asked to serve it late, if late is
+	// set: a caller that can come back is better off with an early refusal.
+	onTime bool
+	late   bool
+}
+
+// note takes the outcome of an attempt.
+func (r *search) note(host string, last *refused, targets int) {
+	r.asked++
+	r.tried = append(r.tried, host)
+	if last.reason != relay.RefusalShed || !r.onTime {
+		return
+	}
+	r.full++
+	if r.late && (r.full >= maxFull || len(r.tried) >= targets) {
+		r.tried = nil
+		r.onTime = false
+	}
+}
+
 // next returns the target of the next attempt, or the answer when there is none. The answer of the attempt before is
 // nil at the first one.
 func (s *Server) next(q *request, tried []string, last *refused) (cicadacross.Target, *refused) {
@@ -151,7 +178,7 @@
 		return target, unavailable(relay.RefusalDeadline, "no time is left")
 	case !ok, s.remaining(q) <= 0:
 		return target, last
-	case last != nil && !s.unbudgeted(last) && !s.budget.Retry(q.service.Name()):
+	case last != nil && last.reason != reasonFailed && !s.unbudgeted(last) && !s.budget.Retry(q.service.Name()):
 		s.opts.Decisions.Record(q.id, "no_retry", "side", "ingress", "reason", "budget")
 		return target, last
 	}
@@ -254,8 +281,8 @@
 	return maxAttempts
 }
 
-// maxTried bounds the targets that are asked. Without a dialect each one counts as an attempt.
-func (s *Server) maxTried() int {
+// maxAsked bounds the owners that are asked. Without a dialect each one counts as an attempt.
+func (s *Server) maxAsked() int {
 	if s.opts.Dialect != nil {
 		return maxMarkedAttempts
 	}
@@ -342,7 +369,7 @@
 
 // attempt sends the request to one target. The results are those of forward.
 func (s *Server) attempt(
-	w http.ResponseWriter, q *request, target cicadacross.Target, head *peerpb.ForwardHead,
+	w http.ResponseWriter, q *request, target cicadacross.Target, head *peerpb.ForwardHead, lastAttempt bool,
 ) (*refused, error) {
 	ctx, cancel := context.WithTimeout(q.http.Context(), s.remaining(q)+answerGrace)
 	defer s.opts.Balancer.Begin(target.Host())()
@@ -353,7 +380,7 @@
 		}
 		return unavailable(reasonUnreachable, err.Error()), nil
 	}
-	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx}
+	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx, lastAttempt: lastAttempt}
 	defer a.close()
 	if s.opts.Dialect != nil {
 		a.ack = newAcknowledgement(a)
--- a/internal/ingress/marked.go
+++ b/internal/ingress/marked.go
@@ -16,9 +16,13 @@
 	// caller that comes back has used up some of its time.
 	returningShare = 0.97
 	// maxMarkedAttempts bounds how many owners are asked for a slot for one request.
-	maxMarkedAttempts = 4
+	maxMarkedAttempts = 6
+	// maxFull is how many owners may say that they have no slot in time before one is asked to serve the request late.
+	maxFull = 3
 	// minRetryAfter is the shortest time after which a refused caller is asked to come back.
 	minRetryAfter = 50 * time.Millisecond
+	// workShare is the part of the target time that a request is assumed to take at its target and on its way.
+	workShare = 0.6
 )
 
 // readMarked reads a request whose caller marks it in the dialect.
@@ -172,12 +176,25 @@
 // refuseMarked answers a caller in the dialect. Statuses that promise that nothing has run are given only when that is
 // so.
 func (s *Server) refuseMarked(w http.ResponseWriter, q *request, fault *refused) {
+	if fault.outcome == cicadacross.OutcomeNotRun && q.service != nil {
+		fault.retryAfter = s.comeBack(q, fault.retryAfter)
+	}
 	s.opts.Dialect.WriteRefusal(w, cicadacross.RefusalAnswer{
 		RequestID: q.id, Status: fault.status, Outcome: fault.outcome, Reason: fault.reason, Text: fault.text,
 		RetryAfter: fault.retryAfter,
 	})
 }
 
+// comeBack returns when a refused caller should come back: within the time in which its answer can still have its full
+// worth, else when the owner expects its queue to be empty and as late as the caller can wait.
+func (s *Server) comeBack(q *request, wait time.Duration) time.Duration {
+	aim := s.aimLeft(q)
+	if slack := aim - time.Duration(workShare*float64(q.rank.Target())); slack > 0 {
+		return max(minRetryAfter, min(wait, slack))
+	}
+	return max(minRetryAfter, wait, s.remaining(q)/3)
+}
+
 // markedRetryable reports whether another attempt may be made in the dialect.
 func (s *Server) markedRetryable(q *request, last *refused) bool {
 	if q.http.Context().Err() != nil || s.remaining(q) <= 0 || !q.body.replayable() {
--- a/internal/ingress/refused.go
+++ b/internal/ingress/refused.go
@@ -16,6 +16,9 @@
 // reasonSilent means that the owner didn't say in time that the request has arrived.
 const reasonSilent = "silent"
 
+// reasonFailed means that the upstream answered that it failed, and that the budget has another attempt for it.
+const reasonFailed = "failed"
+
 // refused is an answer that the daemon gives itself.
 type refused struct {
 	status     int
@@ -52,7 +55,9 @@
 	switch m.GetKind() {
 	case relay.RefusalShed:
 		answer.status = http.StatusTooManyRequests
-		answer.retryAfter = max(answer.retryAfter, time.Second)
+		if answer.retryAfter <= 0 {
+			answer.retryAfter = time.Second
+		}
 	case relay.RefusalKeyConflict:
 		answer.status = http.StatusUnprocessableEntity
 	}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -132,7 +132,7 @@
 		r.key.Done(t.keptReply())
 	}
 	r.release()
-	end := &peerpb.ReplyEnd{Length: uint64(t.total), Load: r.owner.load()} // #nosec G115
+	end := &peerpb.ReplyEnd{Length: uint64(t.total), Load: r.owner.load(r.head.GetKind())} // #nosec G115
 	end.Trailers = EncodeHeader(t.reply.Trailer)
 	r.record("answer", "status", t.reply.Status, "length", t.total)
 	if t.head != nil {
@@ -163,7 +163,7 @@
 		ContentLength: int64(len(kept.Body)),
 		Replayed:      true,
 		Body:          kept.Body,
-		End:           &peerpb.ReplyEnd{Length: uint64(len(kept.Body)), Load: r.owner.load()},
+		End:           &peerpb.ReplyEnd{Length: uint64(len(kept.Body)), Load: r.owner.load(r.head.GetKind())},
 	}
 	return r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Head{Head: head}})
 }
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -156,8 +156,11 @@
 }
 
 // load returns the load of the target for the final message of a request.
-func (o *Owner) load() *peerpb.Load {
+func (o *Owner) load(kind string) *peerpb.Load {
 	l := o.opts.Admission.Load()
+	if e, ok := o.opts.Admission.(cicadacross.Estimator); ok {
+		l = e.Estimate(kind)
+	}
 	if o.opts.Upstream.State().Unhealthy {
 		// An unhealthy upstream is chosen less often and never excluded: health endpoints lag and mislead.
 		l.Queued += l.Slots
@@ -168,22 +171,18 @@
 		Slots:      uint32(l.Slots),      // #nosec G115
 		Draining:   l.Draining || o.Leaving(),
 
-		WaitMs:      uint32(min(l.Wait.Milliseconds(), maxLoadWait.Milliseconds())), // #nosec G115 -- bounded
-		PacePercent: uint32(min(max(l.Pace, 0), maxPace) * 100),                     // #nosec G115 -- bounded
+		WaitMs: uint32(min(max(l.Wait, 0), maxEstimate).Milliseconds()), // #nosec G115 -- bounded
+		WorkMs: uint32(min(max(l.Work, 0), maxEstimate).Milliseconds()), // #nosec G115 -- bounded
 	}
 }
 
-const (
-	// maxLoadWait bounds the wait that an owner tells.
-	maxLoadWait = time.Minute
-	// maxPace bounds the pace that an owner tells.
-	maxPace = 1000.0
-)
+// maxEstimate bounds the times that an owner tells.
+const maxEstimate = time.Minute
 
 // DecodeLoad returns the load of a message between daemons.
 func DecodeLoad(l *peerpb.Load) cicadacross.Load {
 	return cicadacross.Load{
 		InProgress: int(l.GetInProgress()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()), Draining: l.GetDraining(),
-		Wait: time.Duration(l.GetWaitMs()) * time.Millisecond, Pace: float64(l.GetPacePercent()) / 100,
+		Wait: time.Duration(l.GetWaitMs()) * time.Millisecond, Work: time.Duration(l.GetWorkMs()) * time.Millisecond,
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -168,6 +168,7 @@
 		Repeatable: r.head.GetRepeatable(),
 		Returning:  r.head.GetReturning(),
 		Nested:     r.head.GetNested(),
+		OnTimeOnly: r.head.GetOnTimeOnly(),
 	}
 	if opts.Repeatable {
 		opts.Cancel = func() {
@@ -231,13 +232,13 @@
 
 func (r *run) refuse(refused *peerpb.Refusal) error {
 	r.record("refuse", "kind", refused.GetKind(), "reason", refused.GetReason())
-	refused.Load = r.owner.load()
+	refused.Load = r.owner.load(r.head.GetKind())
 	return r.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Refusal{Refusal: refused}})
 }
 
 func (r *run) fail(kind, reason string) error {
 	r.record("fail", "kind", kind, "reason", reason)
-	failed := &peerpb.ReplyFailure{Kind: kind, Reason: reason, Load: r.owner.load()}
+	failed := &peerpb.ReplyFailure{Kind: kind, Reason: reason, Load: r.owner.load(r.head.GetKind())}
 	if kind == FailureCrashed {
 		failed.Suspects = peer.EncodeSuspects(r.owner.opts.Quarantine)
 	}
--- a/registry.go
+++ b/registry.go
@@ -26,14 +26,13 @@
 // Registry reads the records that operators and upstreams publish. Revisions order all changes. Implementations are
 // safe for concurrent use.
 type Registry interface {
-	// List returns all present records whose key begins with the prefix.
-	List(ctx context.Context, prefix string) (Changes, error)
-	// Watch waits until a record under the prefix has changed after the revision, or until the wait ends, and returns
-	// the changes, which may be none. The error satisfies IsHistoryLost when the changes can't be told any more, and
-	// List must be used.
-	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
-	// Ping asks for nothing, as cheaply as the registry allows, to learn whether it answers.
-	Ping(ctx context.Context) error
+	// List returns all present records.
+	List(ctx context.Context) (Changes, error)
+	// Watch waits until a record has changed after the revision, or until the wait ends, and returns the changes, which
+	// may be none. The error satisfies IsHistoryLost when the changes can't be told any more, and List must be used.
+	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
+	// Ping asks for no records, as cheaply as the registry allows, and returns a revision that it had lately.
+	Ping(ctx context.Context) (Revision, error)
 	// IsHistoryLost reports whether the error of Watch means that changes were forgotten.
 	IsHistoryLost(err error) bool
 }
