admission, ingress: accept what meets its target time with a margin, and confirm before a run

Cause: traces showed 30 of 100 page reads answered late, since requests were queued up to the limit of their target time; requests sent behind a partition could not be called not run; owners that refused a confirmed request were avoided. Change: margins on wait and work, few late requests; an owner runs nothing before the sender confirmed it, so that a silent one leaves the request free for another; bodies above 2 KB wait for the start; home zone first within 60% of the target time.

--- a/admission.go
+++ b/admission.go
@@ -39,8 +39,6 @@
 	Returning bool
 	// OnTimeOnly asks for a refusal when the answer would be late.
 	OnTimeOnly bool
-	// Nested marks a call that a running request waits for.
-	Nested bool
 	// Cancel ends the request while it is in progress, so that more urgent work gets its slot; nil when it can't be ended.
 	Cancel func()
 }
@@ -74,9 +72,6 @@
 // OnTimeOnly reports whether the request is to be refused when the answer would be late.
 func (w Work) OnTimeOnly() bool { return w.opts.OnTimeOnly }
 
-// Nested reports whether a running request waits for the answer.
-func (w Work) Nested() bool { return w.opts.Nested }
-
 // Cancel returns the function that ends the request while in progress, or nil.
 func (w Work) Cancel() func() { return w.opts.Cancel }
 
--- a/internal/admission/aim.go
+++ b/internal/admission/aim.go
@@ -20,11 +20,16 @@
 	// requests.
 	slowWeight = 0.3
 	slowFactor = 2
+	// cautiousWait is the factor on the estimated wait of a request that must be answered in time: one that is refused
+	// when it comes can still be served elsewhere.
+	cautiousWait = 2.0
+	// marginDeviations is how many mean deviations of the service time are left as a margin.
+	marginDeviations = 1.0
 	// overrun is the part of the time it has run that a request beyond its expected time is assumed to run on.
 	overrun = 0.3
-	// lateUse is the part of the capacity that late requests were given lately that new ones may count on.
-	lateUse = 0.4
-	// lateAveraging is the time over which the slots given to late requests are averaged.
+	// lateUse is the part of the slots that were left to late requests lately that new ones may count on.
+	lateUse = 0.3
+	// lateAveraging is the time over which the slots left to late requests are averaged.
 	lateAveraging = time.Second
 	// staleAfter is the time without a finished request of a kind from which its average counts less, by half in each
 	// such time.
@@ -41,7 +46,7 @@
 }
 
 // NewAim returns a gate that serves requests in the order of rank and of worth, and first those that meet their target
-// time. Calls that a running request waits for come before all others, since the work done so far depends on them.
+// time.
 func NewAim(opts cicadacross.AdmissionOptions) *Gate {
 	g := newGate(opts)
 	a := &aim{gate: g, kinds: make(map[string]*kind)}
@@ -59,17 +64,16 @@
 	// queue holds the requests that can meet their target time, late the others.
 	queue queue
 	late  queue
-	// lateRate averages the slots that late requests were given, in requests a second; waited is whether any waited.
+	// lateRate averages the slots that came free while no request waited that could meet its target time, a second.
 	lateRate float64
-	updated  time.Time
-	turns    int
+	// freed says that a request has just ended.
+	freed   bool
+	updated time.Time
+	turns   int
 }
 
-// byImportance orders waiting requests: nested calls, then by rank, worth and latest start.
+// byImportance orders waiting requests by rank, worth and latest start.
 func byImportance(a, b *ticket) int {
-	if n := nestedFirst(a, b); n != 0 {
-		return n
-	}
 	if r := compareRank(a.work.Rank(), b.work.Rank()); r != 0 {
 		return r
 	}
@@ -82,16 +86,6 @@
 	return byDue(a, b)
 }
 
-func nestedFirst(a, b *ticket) int {
-	switch {
-	case a.work.Nested() == b.work.Nested():
-		return 0
-	case a.work.Nested():
-		return -1
-	}
-	return 1
-}
-
 func (a *aim) offer(now time.Time, t *ticket) *Error {
 	a.decay(now)
 	t.kind = a.kindOf(now, t.work)
@@ -103,7 +97,7 @@
 		return refusal(KindQueueFull, a.retryAfter(now), "queue holds %d requests", a.gate.queued)
 	}
 	wait := a.wait(now, a.aheadOf(t))
-	if !t.missed(now, wait+service) {
+	if !t.missed(now, time.Duration(cautiousWait*float64(wait))+service+a.margin(t)) {
 		a.queue.push(t)
 		return nil
 	}
@@ -118,17 +112,14 @@
 // acceptsLate reports whether a late request is likely to get a slot before its deadline, by the slots that late
 // requests were given lately.
 func (a *aim) acceptsLate(now time.Time, t *ticket, service time.Duration) bool {
-	if t.work.Nested() {
-		return true
-	}
 	left := t.deadline.Sub(now) - service
 	if t.deadline.IsZero() {
 		left = lateAveraging
 	}
-	waiting := float64(a.late.len() + 1)
-	if a.queue.len() == 0 && a.late.len() == 0 {
-		return a.wait(now, 0) < left
+	if len(a.gate.running) < a.gate.slots {
+		return true
 	}
+	waiting := float64(a.late.len() + 1)
 	return waiting <= lateUse*a.lateRate*left.Seconds()
 }
 
@@ -167,6 +158,11 @@
 	return time.Duration(guessShare * float64(t.work.Rank().Target()))
 }
 
+// margin is how much longer than expected a request may take that must be answered in time.
+func (a *aim) margin(t *ticket) time.Duration {
+	return time.Duration(marginDeviations * float64(t.kind.deviation))
+}
+
 func (a *aim) measured(k *kind) time.Duration {
 	age := a.updated.Sub(k.measuredAt) - staleAfter
 	if age <= 0 || k.inProgress > 0 {
@@ -228,6 +224,10 @@
 
 func (a *aim) choose(now time.Time) *ticket {
 	a.decay(now)
+	if a.freed && a.queue.len() == 0 {
+		a.lateRate += 1 / lateAveraging.Seconds()
+	}
+	a.freed = false
 	a.turns++
 	if a.turns%turnEvery == 0 {
 		if t := a.longestWaiting(now); t != nil {
@@ -247,7 +247,6 @@
 			a.gate.shed(t, refusal(KindDeadline, 0, "no slot came free in time"))
 			continue
 		}
-		a.lateRate += 1 / lateAveraging.Seconds()
 		return t
 	}
 	return nil
@@ -309,6 +308,7 @@
 
 func (a *aim) ended(now time.Time, t *ticket) {
 	a.decay(now)
+	a.freed = true
 	took := now.Sub(t.started)
 	k := t.kind
 	k.inProgress--
--- a/internal/balance/swift.go
+++ b/internal/balance/swift.go
@@ -20,11 +20,11 @@
 	estimateAge = 2 * time.Second
 	// coldFactor is how much longer a target takes that has just started.
 	coldFactor = 2.0
-	// awayShare is the part of the target time that a target of another availability zone must be faster by. Traffic
-	// between zones costs, and a cut takes such requests along.
-	awayShare = 0.06
-	// bulkyAwayShare is the same for requests with large bodies.
-	bulkyAwayShare = 0.5
+	// comfort is the part of the target time within which an answer from the own availability zone is good enough.
+	// Traffic between zones costs, and a cut takes such requests along.
+	comfort = 0.6
+	// bulkyComfort is the same for requests with large bodies, whose traffic costs as much as they are worth.
+	bulkyComfort = 1.2
 	// unknownWork is the part of the target time that a request is assumed to take where nothing is known.
 	unknownWork = 0.3
 	// kindWeight is the weight of one report in the average of a kind over all targets.
@@ -100,16 +100,18 @@
 	s.prune(now)
 	home, away := s.split(candidates)
 	best, bestTime := s.fastest(now, request, home)
-	other, otherTime := s.fastest(now, request, away)
-	share := awayShare
+	share := comfort
 	if request.Bulky {
-		share = bulkyAwayShare
+		share = bulkyComfort
+	}
+	if len(home) > 0 && (len(away) == 0 || bestTime <= time.Duration(share*float64(request.Aim))) {
+		return best, true
 	}
-	margin := time.Duration(share * float64(request.Aim))
-	if len(home) == 0 || (len(away) > 0 && otherTime+margin < bestTime) {
-		return other, true
+	other, otherTime := s.fastest(now, request, away)
+	if len(home) > 0 && bestTime <= otherTime {
+		return best, true
 	}
-	return best, true
+	return other, true
 }
 
 func (s *Swift) split(candidates []cicadacross.Target) (home, away []cicadacross.Target) {
--- a/internal/ingress/acknowledge.go
+++ b/internal/ingress/acknowledge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 )
 
@@ -12,12 +11,12 @@
 const ackLimit = 250 * time.Millisecond
 
 // acknowledgement notices an owner that is silent, behind a partition or on a connection that was lost without a sign.
-// The host is avoided then. A request that may be repeated is given up, so that another target gets it.
+// The host is avoided then, and the attempt ends: the owner doesn't run what isn't confirmed, so that another target can
+// get the request.
 type acknowledgement struct {
 	attempt *attempt
 	cancel  context.CancelFunc
 	stop    func() bool
-	silent  atomic.Bool
 }
 
 func newAcknowledgement(a *attempt) *acknowledgement {
@@ -33,12 +32,8 @@
 		return
 	}
 	a := k.attempt
-	a.server.evidence.observe(a.target.Host(), false)
 	a.server.opts.Decisions.Record(a.q.id, "silent", "side", "ingress", "target", a.target.Name(), "limit", ackLimit)
-	if a.q.route.Repeatable() && !a.q.route.Bulky() {
-		k.silent.Store(true)
-		a.stream.Close()
-	}
+	a.stream.Close()
 }
 
 // end ends the watch when a message came.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -25,6 +25,8 @@
 	ctx    context.Context
 	upload *uploader // nil until the owner started a request whose body is not at hand
 	total  int64
+	// unconfirmed says that the owner must not run the request yet.
+	unconfirmed bool
 	// lastAttempt says that no other one follows, so that each answer is passed on.
 	lastAttempt bool
 	// ack watches over the time in which the owner must say that the request has arrived; nil without a dialect.
@@ -50,9 +52,7 @@
 		}
 		switch m := m.GetMessage().(type) {
 		case *peerpb.ForwardReply_Started:
-			if m.Started {
-				a.startUpload()
-			}
+			a.started(m.Started)
 		case *peerpb.ForwardReply_Refusal:
 			a.observe(m.Refusal.GetLoad())
 			if m.Refusal.GetKind() == relay.RefusalRejected {
@@ -79,6 +79,23 @@
 	}
 }
 
+// started takes the owner's word that the request has arrived, which is confirmed if the owner waits for that, or that the
+// upstream's call begins.
+func (a *attempt) started(begun bool) {
+	if begun {
+		a.startUpload()
+		return
+	}
+	if !a.unconfirmed {
+		return
+	}
+	a.unconfirmed = false
+	if err := a.stream.Confirm(); err != nil {
+		// The owner has refused the request meanwhile, which the next message says, or the stream broke.
+		a.server.opts.Logger.V(1).Info("not confirmed", "request", a.q.id, "reason", err.Error())
+	}
+}
+
 // learnSuspects takes the owner's suspects before the next attempt, which could crash another upstream.
 func (a *attempt) learnSuspects(list []*peerpb.Suspect) {
 	suspects, err := peer.DecodeSuspects(list)
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -24,11 +24,13 @@
 	whole  bool // start is the whole body
 	length int64
 	passed int64 // bytes read beyond start
+	// inlineSize is how much of start travels with the head.
+	inlineSize int
 }
 
 // readStart reads the start of the body.
 func readStart(r *http.Request, replaySize int64) (*replayBody, error) {
-	b := &replayBody{source: r.Body, length: r.ContentLength}
+	b := &replayBody{source: r.Body, length: r.ContentLength, inlineSize: relay.HeadBody}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.whole = true
 		return b, nil
@@ -57,10 +59,21 @@
 func (b *replayBody) replayable() bool { return b.passed == 0 }
 
 // inline returns the part of the body that travels with the head.
-func (b *replayBody) inline() []byte { return b.start[:min(len(b.start), relay.HeadBody)] }
+func (b *replayBody) inline() []byte { return b.start[:min(len(b.start), b.inlineSize)] }
 
 // allInline reports whether the whole body travels with the head.
-func (b *replayBody) allInline() bool { return b.whole && len(b.start) <= relay.HeadBody }
+func (b *replayBody) allInline() bool { return b.whole && len(b.start) <= b.inlineSize }
+
+// holdBack keeps a body from travelling with the head, since several owners may be asked before one takes the request.
+func (b *replayBody) holdBack() {
+	if len(b.start) > heldBackSize {
+		b.inlineSize = 0
+	}
+}
+
+// heldBackSize is the size from which a body is held back, in bytes: above it the bytes of one more ask cost more than
+// the time for one more message.
+const heldBackSize = 2 << 10
 
 // uploader sends the rest of a body while the answer is awaited.
 type uploader struct {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return badRequest("body", err.Error())
 	}
+	if s.opts.Dialect != nil {
+		body.holdBack()
+	}
 	q.body = body
 	return nil
 }
@@ -110,19 +113,20 @@
 	if s.opts.Quarantine.Blocked(q.fingerprint) {
 		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
 	}
-	search := search{onTime: s.opts.Dialect != nil, late: q.returning || q.nested}
+	search := search{onTime: s.opts.Dialect != nil, late: true}
 	var last *refused
 	for n := 0; n < s.attempts(q) && search.asked < s.maxAsked(); {
-		target, fault := s.next(q, search.tried, last)
+		target, fault := s.next(q, &search, last)
 		if fault != nil {
 			return fault, nil
 		}
 		head := s.head(q, target, headers)
 		head.Attempt = uint32(n) // #nosec G115
 		head.OnTimeOnly = search.onTime
+		head.Confirm = s.opts.Dialect != nil && !s.opts.Client.IsLocal(target)
 		var err error
 		last, err = s.attempt(w, q, target, head, n+1 >= s.attempts(q))
-		if last == nil || !s.unbudgeted(last) {
+		if last == nil || !s.unbudgeted(last) && !s.repeatsReached(last) {
 			n++
 		}
 		q.mayHaveRun = q.mayHaveRun || last == nil || last.outcome != cicadacross.OutcomeNotRun
@@ -151,12 +155,38 @@
 	// set: a caller that can come back is better off with an early refusal.
 	onTime bool
 	late   bool
+	// reached holds the hosts whose upstream got the request, rejected those among them whose upstream didn't run it. A
+	// request may be sent to no more than the route's attempts of targets, but again to one that rejected it.
+	reached  []string
+	rejected []string
+}
+
+// reach notes that the upstream of the host got the request.
+func (r *search) reach(host string, last *refused) {
+	if !slices.Contains(r.reached, host) {
+		r.reached = append(r.reached, host)
+	}
+	r.rejected = slices.DeleteFunc(r.rejected, func(h string) bool { return h == host })
+	if last.reason == relay.RefusalRejected {
+		r.rejected = append(r.rejected, host)
+	}
+}
+
+// allows reports whether the request may go to the host, when it may reach the given number of targets.
+func (r *search) allows(host string, attempts int) bool {
+	if len(r.reached) >= attempts {
+		return slices.Contains(r.rejected, host)
+	}
+	return !slices.Contains(r.tried, host)
 }
 
 // note takes the outcome of an attempt.
 func (r *search) note(host string, last *refused, targets int) {
 	r.asked++
 	r.tried = append(r.tried, host)
+	if !last.unsent() && !last.free() {
+		r.reach(host, last)
+	}
 	if last.reason != relay.RefusalShed || !r.onTime {
 		return
 	}
@@ -169,8 +199,8 @@
 
 // next returns the target of the next attempt, or the answer when there is none. The answer of the attempt before is
 // nil at the first one.
-func (s *Server) next(q *request, tried []string, last *refused) (cicadacross.Target, *refused) {
-	target, ok := s.pick(q, tried)
+func (s *Server) next(q *request, search *search, last *refused) (cicadacross.Target, *refused) {
+	target, ok := s.pick(q, search)
 	switch {
 	case !ok && last == nil:
 		return target, unavailable("no_target", "no target of the service takes work")
@@ -225,7 +255,8 @@
 }
 
 // pick chooses the target of one attempt.
-func (s *Server) pick(q *request, tried []string) (cicadacross.Target, bool) {
+func (s *Server) pick(q *request, search *search) (cicadacross.Target, bool) {
+	tried := search.tried
 	if q.key != "" {
 		owner, ok := s.opts.KeyOwner(q.service, q.key)
 		ok = ok && !slices.Contains(tried, owner.Host())
@@ -242,7 +273,7 @@
 	var doubtful []cicadacross.Target
 	for _, t := range targets {
 		switch host := t.Host(); {
-		case slices.Contains(tried, host), s.leaving(q.configuration, host):
+		case !search.allows(host, s.reachable(q)), s.leaving(q.configuration, host):
 		case s.doubtful(host):
 			doubtful = append(doubtful, t)
 		default:
@@ -281,6 +312,20 @@
 	return maxAttempts
 }
 
+// reachable returns how many targets may get the request. Without a dialect the attempts alone bound it.
+func (s *Server) reachable(q *request) int {
+	if s.opts.Dialect != nil {
+		return q.route.Attempts()
+	}
+	return math.MaxInt
+}
+
+// repeatsReached reports whether a target that rejected the request may get it again: in a dialect only runs count as
+// attempts.
+func (s *Server) repeatsReached(last *refused) bool {
+	return s.opts.Dialect != nil && last.reason == relay.RefusalRejected
+}
+
 // maxAsked bounds the owners that are asked. Without a dialect each one counts as an attempt.
 func (s *Server) maxAsked() int {
 	if s.opts.Dialect != nil {
@@ -357,7 +402,7 @@
 	}
 	if s.opts.Dialect != nil {
 		aim := uint64(max(0, s.aimLeft(q).Milliseconds())) // #nosec G115
-		head.AimMs, head.Returning, head.Nested, head.Authority = &aim, q.returning, q.nested, q.http.Host
+		head.AimMs, head.Returning, head.Authority = &aim, q.returning, q.http.Host
 	}
 	return head
 }
@@ -380,9 +425,10 @@
 		}
 		return unavailable(reasonUnreachable, err.Error()), nil
 	}
-	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx, lastAttempt: lastAttempt}
+	a := &attempt{server: s, w: w, q: q, target: target, stream: stream, ctx: ctx, lastAttempt: lastAttempt,
+		unconfirmed: head.GetConfirm()}
 	defer a.close()
-	if s.opts.Dialect != nil {
+	if a.unconfirmed {
 		a.ack = newAcknowledgement(a)
 		defer a.ack.end()
 	}
@@ -395,8 +441,11 @@
 	if errors.As(err, &e) && e.Kind() == relay.KindRejected {
 		return unavailable("rejected", err.Error())
 	}
-	if a.ack != nil && a.ack.silent.Load() {
-		return unknown(http.StatusBadGateway, reasonSilent, "the owner did not acknowledge the request")
+	if a.unconfirmed {
+		if a.q.http.Context().Err() == nil {
+			a.server.evidence.observe(a.target.Host(), false)
+		}
+		return unavailable(reasonSilent, "the owner did not say that the request arrived")
 	}
 	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return unknown(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
--- a/internal/ingress/marked.go
+++ b/internal/ingress/marked.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,11 +11,13 @@
 )
 
 const (
-	// returningShare is the part of the usual time limit below which a caller is taken to have been refused before: a
-	// caller that comes back has used up some of its time.
-	returningShare = 0.97
+	// returningShare is the part of the longest time limit of a route below which a caller is taken to have been refused
+	// before: one that comes back has used up some of its time. The limits of first sends differ by about 15% either way.
+	returningShare = 0.7
+	// meanPatience is the part of the longest time limit of a route that callers have on average.
+	meanPatience = 0.87
 	// maxMarkedAttempts bounds how many owners are asked for a slot for one request.
-	maxMarkedAttempts = 6
+	maxMarkedAttempts = 8
 	// maxFull is how many owners may say that they have no slot in time before one is asked to serve the request late.
 	maxFull = 3
 	// minRetryAfter is the shortest time after which a refused caller is asked to come back.
@@ -49,7 +50,6 @@
 		return q, notFound("route", "no route for the authority and path")
 	}
 	q.route, q.rank = route, route.Rank()
-	q.nested = s.isLocal(r)
 	s.readTimes(q, marks, arrived)
 	if fault := q.chooseService(s.splits.next(route)); fault != nil {
 		return q, fault
@@ -83,12 +83,6 @@
 	return nil
 }
 
-// isLocal reports whether the request comes from this host: from its upstream, while that runs another request.
-func (s *Server) isLocal(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	return err == nil && host == s.opts.Host
-}
-
 // readTimes fixes the time limits. A caller that has less time than usual was refused before; what it has used up is
 // gone from the target time too.
 func (s *Server) readTimes(q *request, marks cicadacross.CallerRequest, arrived time.Time) {
@@ -96,12 +90,10 @@
 	q.aim = q.rank.Target()
 	if marks.Timeout > 0 {
 		limit = min(limit, marks.Timeout)
-		if !q.nested {
-			usual := s.patience.usual(q.route.Name(), marks.Timeout)
-			if float64(marks.Timeout) < returningShare*float64(usual) {
-				q.returning = true
-				q.aim = max(0, q.aim-(usual-marks.Timeout))
-			}
+		usual := s.patience.usual(q.route.Name(), marks.Timeout)
+		if float64(marks.Timeout) < returningShare*float64(usual) {
+			q.returning = true
+			q.aim = max(0, q.aim-(time.Duration(meanPatience*float64(usual))-marks.Timeout))
 		}
 	}
 	q.deadline = arrived.Add(limit)
--- a/internal/ingress/refused.go
+++ b/internal/ingress/refused.go
@@ -13,7 +13,7 @@
 // reasonUnreachable means that no connection to the owner could be used, so that it never saw the request.
 const reasonUnreachable = "unreachable"
 
-// reasonSilent means that the owner didn't say in time that the request has arrived.
+// reasonSilent means that the owner didn't say in time that the request has arrived, and so doesn't run it.
 const reasonSilent = "silent"
 
 // reasonFailed means that the upstream answered that it failed, and that the budget has another attempt for it.
@@ -101,7 +101,7 @@
 // nor towards the retry budget: each ends at once, and a target that failed one isn't tried again.
 func (f *refused) free() bool {
 	switch f.reason {
-	case reasonUnreachable, relay.RefusalDraining, relay.RefusalUpstream:
+	case reasonUnreachable, reasonSilent, relay.RefusalDraining, relay.RefusalUpstream:
 		return true
 	}
 	return false
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -44,8 +44,6 @@
 	aim time.Duration
 	// returning marks a request that was refused before and came back.
 	returning bool
-	// nested marks a call of the upstream on this host.
-	nested bool
 	// arrived is when the request was read.
 	arrived time.Time
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -87,7 +87,7 @@
 
 // attach connects the stream with the owner of the target.
 func (c *Client) attach(ctx context.Context, s *Stream, target cicadacross.Target) (err error) {
-	if c.opts.Local != nil && target.Host() == c.opts.Host {
+	if c.IsLocal(target) {
 		s.link = newPipe(ctx, c.opts.Local)
 		return nil
 	}
@@ -129,6 +129,20 @@
 	return nil
 }
 
+// Confirm lets a request run whose head asked to wait for it. An error means that the stream ended.
+func (s *Stream) Confirm() error {
+	err := s.link.Send(&peerpb.ForwardRequest{Message: &peerpb.ForwardRequest_Confirm{Confirm: true}})
+	if err != nil {
+		return wrapError("confirm", KindBroken, err, "the stream ended")
+	}
+	return nil
+}
+
+// IsLocal reports whether requests for the target go to the owner in this process.
+func (c *Client) IsLocal(target cicadacross.Target) bool {
+	return c.opts.Local != nil && target.Host() == c.opts.Host
+}
+
 // SendChunk sends a piece of the body. The piece may be reused afterwards. An error means that the stream ended; Recv
 // tells why.
 func (s *Stream) SendChunk(piece []byte) error {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -167,7 +167,6 @@
 		Deadline:   r.deadline,
 		Repeatable: r.head.GetRepeatable(),
 		Returning:  r.head.GetReturning(),
-		Nested:     r.head.GetNested(),
 		OnTimeOnly: r.head.GetOnTimeOnly(),
 	}
 	if opts.Repeatable {
@@ -186,6 +185,12 @@
 	if err != nil {
 		return false, r.deny(StageAdmission, err)
 	}
+	if r.head.GetConfirm() {
+		if err := r.awaitConfirm(); err != nil {
+			slot.Release()
+			return false, r.notRun(refusal(RefusalCanceled, err.Error()), nil)
+		}
+	}
 	leave, err := o.opts.Quarantine.Enter(ctx, fingerprint)
 	if err != nil {
 		slot.Release()
@@ -198,6 +203,38 @@
 	return true, nil
 }
 
+// confirmLimit bounds the wait for the confirmation of a request that has a slot. It was asked for when the request came,
+// and takes one way there and back.
+const confirmLimit = 300 * time.Millisecond
+
+// awaitConfirm waits until the sender knows that the request has arrived.
+func (r *run) awaitConfirm() error {
+	c := &confirmation{session: r.session, received: make(chan error, 1)}
+	go c.run()
+	t := r.owner.opts.Timers.After(confirmLimit)
+	defer t.Stop()
+	select {
+	case err := <-c.received:
+		return err
+	case <-t.C():
+		return newError("confirm", KindBroken, "no confirmation came in %v", confirmLimit)
+	}
+}
+
+// confirmation is one wait for a confirmation. It ends at the latest with the stream.
+type confirmation struct {
+	session  session
+	received chan error
+}
+
+func (c *confirmation) run() {
+	request, err := c.session.Recv()
+	if err == nil && !request.GetConfirm() {
+		err = newError("confirm", KindBroken, "another message came in place of the confirmation")
+	}
+	c.received <- err
+}
+
 // deny answers with the error of a stage.
 func (r *run) deny(stage Stage, err error) error {
 	v := r.owner.verdict(stage, err)
