--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -380,6 +380,9 @@
 // Fleet returns the control part.
 func (d *Daemon) Fleet() *fleet.Fleet { return d.fleet }
 
+// InProgress returns the number of requests for the target of this host that the daemon holds, queued ones included.
+func (d *Daemon) InProgress() int { return d.owner.InProgress() }
+
 // Shutdown ends the daemon gracefully: it tells the fleet that this host leaves, refuses new requests as not run,
 // waits until no request is in progress, and stops. The wait ends early with ctx or after the drain limit.
 func (d *Daemon) Shutdown(ctx context.Context) error {
--- a/internal/ingress/marked.go
+++ b/internal/ingress/marked.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -171,12 +172,34 @@
 	if fault.outcome == cicadacross.OutcomeNotRun && q.service != nil {
 		fault.retryAfter = s.comeBack(q, fault.retryAfter)
 	}
+	if q.body == nil {
+		discardBody(w, q.http)
+	}
 	s.opts.Dialect.WriteRefusal(w, cicadacross.RefusalAnswer{
 		RequestID: q.id, Status: fault.status, Outcome: fault.outcome, Reason: fault.reason, Text: fault.text,
 		RetryAfter: fault.retryAfter,
 	})
 }
 
+const (
+	// maxDiscarded and discardTime bound the body that is read before a refusal. A connection that is closed with bytes
+	// unread is reset, which takes the refusal from the caller.
+	maxDiscarded = 8 << 20
+	discardTime  = time.Second
+)
+
+// discardBody reads the body of a request that is refused before its body was read.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime)); err != nil {
+		return
+	}
+	// The refusal is the same whether the caller sends its whole body.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscarded))
+}
+
 // comeBack returns when a refused caller should come back: within the time in which its answer can still have its full
 // worth, else when the owner expects its queue to be empty and as late as the caller can wait.
 func (s *Server) comeBack(q *request, wait time.Duration) time.Duration {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -391,6 +391,8 @@
 		reason := "the upstream did not run the request"
 		if signs.Misdirected {
 			reason = "another target has the address"
+			// The other idle connections lead to it too.
+			r.owner.opts.Upstream.CloseIdle()
 		}
 		return true, r.notRun(refusal(RefusalRejected, reason), nil)
 	case signs.Invalid != "":
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -127,6 +127,9 @@
 	u.pool.close()
 }
 
+// CloseIdle closes the idle connections.
+func (u *Upstream) CloseIdle() { u.pool.closeWhere(func(*Connection) bool { return true }) }
+
 // observeReply reads the signals that the upstream puts into its answers.
 func (u *Upstream) observeReply(header http.Header) {
 	if header.Get(cicadacross.HeaderDraining) == "true" && !u.drainingByReply.Swap(true) {
