--- a/internal/admission/aim_test.go
+++ b/internal/admission/aim_test.go
@@ -68,9 +68,15 @@
 }
 
 var (
-	lookup = aimWork{kind: "lookup", urgency: 2, worth: 1, target: 500 * time.Millisecond, deadline: 1200 * time.Millisecond}
-	pay    = aimWork{kind: "pay", urgency: 2, worth: 2, target: 600 * time.Millisecond, deadline: 1500 * time.Millisecond}
-	quote  = aimWork{kind: "quote", urgency: 1, worth: 1, target: 300 * time.Millisecond, deadline: 500 * time.Millisecond}
+	lookup = aimWork{
+		kind: "lookup", urgency: 2, worth: 1, target: 500 * time.Millisecond, deadline: 1200 * time.Millisecond,
+	}
+	pay = aimWork{
+		kind: "pay", urgency: 2, worth: 2, target: 600 * time.Millisecond, deadline: 1500 * time.Millisecond,
+	}
+	quote = aimWork{
+		kind: "quote", urgency: 1, worth: 1, target: 300 * time.Millisecond, deadline: 500 * time.Millisecond,
+	}
 )
 
 // Guards against an urgent request that waits behind a less urgent one, and a payment behind a lookup of its rank.
--- a/internal/daemon/registered.go
+++ b/internal/daemon/registered.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"cicadacross"
-	"cicadacross/internal/discovery"
 	"cicadacross/internal/ingress"
 	"cicadacross/internal/kernel"
 	"cicadacross/internal/operator"
@@ -19,6 +18,7 @@
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/quarantine"
 	"cicadacross/internal/relay"
+	"cicadacross/internal/roster"
 	"cicadacross/internal/upstream"
 )
 
@@ -39,7 +39,7 @@
 
 // registered is the control part when upstreams register themselves, as operators see it.
 type registered struct {
-	*discovery.Discovery
+	*roster.Roster
 	settings *Settings
 	timers   cicadacross.Timers
 	draining *atomic.Bool
@@ -66,7 +66,7 @@
 		Host: d.settings.Host, Timers: d.timers, OnCrash: func() { d.control.AnnounceSuspects() },
 	})
 	d.pool = peer.NewPool(d.settings.FleetKey, peer.From(d.localAddress()))
-	control, err := discovery.New(discovery.Options{
+	control, err := roster.New(roster.Options{
 		Host:             d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone,
 		Service:          d.settings.Service,
@@ -83,10 +83,10 @@
 		OnApply:          d.appliedRegistered,
 	})
 	if err != nil {
-		return wrapError("build", KindPlugin, err, "discovery")
+		return wrapError("build", KindPlugin, err, "roster")
 	}
 	draining := new(atomic.Bool)
-	d.registered = &registered{Discovery: control, settings: &d.settings, timers: d.timers, draining: draining}
+	d.registered = &registered{Roster: control, settings: &d.settings, timers: d.timers, draining: draining}
 	d.control = d.registered
 	d.readiness = newReadiness(func() bool { return !draining.Load() && control.Configuration() != nil })
 	return nil
--- a/internal/ingress/acknowledge.go
+++ b/internal/ingress/acknowledge.go
@@ -11,8 +11,8 @@
 const ackLimit = 250 * time.Millisecond
 
 // acknowledgement notices an owner that is silent, behind a partition or on a connection that was lost without a sign.
-// The host is avoided then, and the attempt ends: the owner doesn't run what isn't confirmed, so that another target can
-// get the request.
+// The host is avoided then, and the attempt ends: the owner doesn't run what isn't confirmed, so that another target
+// can get the request.
 type acknowledgement struct {
 	attempt *attempt
 	cancel  context.CancelFunc
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// started takes the owner's word that the request has arrived, which is confirmed if the owner waits for that, or that the
-// upstream's call begins.
+// started takes the owner's word that the request has arrived, which is confirmed if the owner waits for that, or that
+// the upstream's call begins.
 func (a *attempt) started(begun bool) {
 	if begun {
 		a.startUpload()
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -123,12 +123,9 @@
 		head := s.head(q, target, headers)
 		head.Attempt = uint32(n) // #nosec G115
 		head.OnTimeOnly = search.onTime
-		head.Confirm = s.opts.Dialect != nil && !s.opts.Client.IsLocal(target)
 		var err error
 		last, err = s.attempt(w, q, target, head, n+1 >= s.attempts(q))
-		if last == nil || !s.unbudgeted(last) && !s.repeatsReached(last) {
-			n++
-		}
+		n += s.counts(last)
 		q.mayHaveRun = q.mayHaveRun || last == nil || last.outcome != cicadacross.OutcomeNotRun
 		if last == nil || err != nil || !s.retryable(q, last) {
 			return last, err
@@ -320,6 +317,14 @@
 	return math.MaxInt
 }
 
+// counts returns 1 when the attempt counts towards the most that are made, else 0.
+func (s *Server) counts(last *refused) int {
+	if last != nil && (s.unbudgeted(last) || s.repeatsReached(last)) {
+		return 0
+	}
+	return 1
+}
+
 // repeatsReached reports whether a target that rejected the request may get it again: in a dialect only runs count as
 // attempts.
 func (s *Server) repeatsReached(last *refused) bool {
@@ -402,6 +407,7 @@
 	}
 	if s.opts.Dialect != nil {
 		aim := uint64(max(0, s.aimLeft(q).Milliseconds())) // #nosec G115
+		head.Confirm = !s.opts.Client.IsLocal(target)
 		head.AimMs, head.Returning, head.Authority = &aim, q.returning, q.http.Host
 	}
 	return head
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -203,8 +203,8 @@
 	return true, nil
 }
 
-// confirmLimit bounds the wait for the confirmation of a request that has a slot. It was asked for when the request came,
-// and takes one way there and back.
+// confirmLimit bounds the wait for the confirmation of a request that has a slot. It was asked for when the request
+// came, and takes one way there and back.
 const confirmLimit = 300 * time.Millisecond
 
 // awaitConfirm waits until the sender knows that the request has arrived.
--- a/internal/discovery/election.go
+++ b/internal/roster/election.go
@@ -1,4 +1,4 @@
-package discovery
+package roster
 
 import (
 	"context"
@@ -25,7 +25,7 @@
 // election decides whether this daemon watches the registry. In each availability zone the daemon with the first place
 // does; another one does when it hears of no reader before it. It is safe for concurrent use.
 type election struct {
-	discovery *Discovery
+	roster *Roster
 
 	mu sync.Mutex
 	// zone holds the hosts of the availability zone in the order of their places, all the hosts of the fleet.
@@ -43,14 +43,14 @@
 	wasReader bool
 }
 
-func (e *election) init(d *Discovery) { e.discovery = d }
+func (e *election) init(d *Roster) { e.roster = d }
 
 // place orders hosts by a hash, so that places don't follow addresses, which follow services.
 func placeOf(host string) uint64 { return xxhash.Sum64String(host) }
 
 // know takes the hosts of a new configuration.
 func (e *election) know(c *cicadacross.Configuration) {
-	own := e.discovery.opts.Host
+	own := e.roster.opts.Host
 	zone := []string{own}
 	all := []string{}
 	for _, t := range c.Targets() {
@@ -58,7 +58,7 @@
 			continue
 		}
 		all = append(all, t.Host())
-		if t.AvailabilityZone() == e.discovery.opts.AvailabilityZone {
+		if t.AvailabilityZone() == e.roster.opts.AvailabilityZone {
 			zone = append(zone, t.Host())
 		}
 	}
@@ -76,7 +76,7 @@
 
 // heard notes that this daemon heard the registry.
 func (e *election) heard() {
-	now := e.discovery.opts.Timers.Now()
+	now := e.roster.opts.Timers.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.own = now
@@ -84,7 +84,7 @@
 
 // told notes that the reader on the host heard the registry the given time ago.
 func (e *election) told(host string, age time.Duration) {
-	at := e.discovery.opts.Timers.Now().Add(-age)
+	at := e.roster.opts.Timers.Now().Add(-age)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if i := slices.Index(e.zone, host); i >= 0 && i < e.place && at.After(e.others) {
@@ -101,14 +101,14 @@
 
 // elected reports whether this daemon must watch the registry now.
 func (e *election) elected() bool {
-	now := e.discovery.opts.Timers.Now()
+	now := e.roster.opts.Timers.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	elected := e.discovery.opts.Everyone || !e.known || e.place == 0 ||
+	elected := e.roster.opts.Everyone || !e.known || e.place == 0 ||
 		now.Sub(e.others) > confirmLimit+time.Duration(e.place-1)*rankStep
 	if elected != e.wasReader {
 		e.wasReader = elected
-		e.discovery.opts.Log.Info("watch of the registry", "elected", elected, "place", e.place, "zone_hosts", len(e.zone))
+		e.roster.opts.Log.Info("watch of the registry", "elected", elected, "place", e.place, "zone_hosts", len(e.zone))
 	}
 	return elected
 }
@@ -118,7 +118,7 @@
 	if e.elected() {
 		return ctx.Err() == nil
 	}
-	t := e.discovery.opts.Timers.Every(electionPoll)
+	t := e.roster.opts.Timers.Every(electionPoll)
 	defer t.Stop()
 	for {
 		select {
@@ -138,7 +138,7 @@
 	defer e.mu.Unlock()
 	var hosts []string
 	for _, host := range e.zone[:min(len(e.zone), sourcePlaces)] {
-		if host != e.discovery.opts.Host {
+		if host != e.roster.opts.Host {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/discovery/error.go
+++ b/internal/roster/error.go
@@ -1,4 +1,4 @@
-package discovery
+package roster
 
 import "cicadacross/internal/failure"
 
--- a/internal/discovery/follow.go
+++ b/internal/roster/follow.go
@@ -1,4 +1,4 @@
-package discovery
+package roster
 
 import (
 	"context"
@@ -30,21 +30,21 @@
 
 // following keeps one goroutine for each daemon that is followed.
 type following struct {
-	discovery *Discovery
-	mu        sync.Mutex
-	streams   map[string]context.CancelFunc
-	stray     string
-	strayAt   time.Time
+	roster  *Roster
+	mu      sync.Mutex
+	streams map[string]context.CancelFunc
+	stray   string
+	strayAt time.Time
 }
 
-func (d *Discovery) startFollowing(ctx context.Context) {
-	f := &following{discovery: d, streams: make(map[string]context.CancelFunc)}
+func (d *Roster) startFollowing(ctx context.Context) {
+	f := &following{roster: d, streams: make(map[string]context.CancelFunc)}
 	d.stopped.Add(1)
 	go f.run(ctx)
 }
 
 func (f *following) run(ctx context.Context) {
-	d := f.discovery
+	d := f.roster
 	defer d.stopped.Done()
 	t := d.opts.Timers.Every(followPoll)
 	defer t.Stop()
@@ -61,8 +61,8 @@
 // adjust starts and ends streams.
 func (f *following) adjust(ctx context.Context) {
 	wanted := make(map[string]bool)
-	if !f.discovery.opts.Everyone {
-		for _, host := range f.discovery.election.sources() {
+	if !f.roster.opts.Everyone {
+		for _, host := range f.roster.election.sources() {
 			wanted[host] = true
 		}
 	}
@@ -84,20 +84,20 @@
 		streamCtx, cancel := context.WithCancel(ctx)
 		f.streams[host] = cancel
 		s := &source{following: f, host: host}
-		f.discovery.stopped.Add(1)
+		f.roster.stopped.Add(1)
 		go s.run(streamCtx, cancel)
 	}
 }
 
 // strayHost returns a random daemon to follow while no reader of the zone is heard, or "".
 func (f *following) strayHost() string {
-	now := f.discovery.opts.Timers.Now()
-	if now.Sub(f.discovery.status.Load().confirmed) < staleLimit {
+	now := f.roster.opts.Timers.Now()
+	if now.Sub(f.roster.status.Load().confirmed) < staleLimit {
 		f.stray = ""
 		return ""
 	}
 	if f.stray == "" || now.Sub(f.strayAt) > straySwitch {
-		f.stray, f.strayAt = f.discovery.election.anyHost(), now
+		f.stray, f.strayAt = f.roster.election.anyHost(), now
 	}
 	return f.stray
 }
@@ -110,7 +110,7 @@
 
 // run follows the daemon until its stream ends; adjust then starts another one.
 func (s *source) run(ctx context.Context, cancel context.CancelFunc) {
-	d := s.following.discovery
+	d := s.following.roster
 	defer d.stopped.Done()
 	defer cancel()
 	err := s.follow(ctx, cancel)
@@ -125,7 +125,7 @@
 }
 
 func (s *source) follow(ctx context.Context, cancel context.CancelFunc) error {
-	d := s.following.discovery
+	d := s.following.roster
 	conn, err := d.opts.Pool.Conn(d.peerAddress(s.host))
 	if err != nil {
 		return err
@@ -155,7 +155,7 @@
 
 // take passes a frame to the control goroutine.
 func (s *source) take(ctx context.Context, frame *peerpb.FollowFrame) {
-	d := s.following.discovery
+	d := s.following.roster
 	if frame.ConfirmedAgeMs == nil || frame.GetComplete() == 0 {
 		return
 	}
@@ -192,7 +192,7 @@
 	}
 }
 
-func (w *silenceWatch) run(ctx context.Context, d *Discovery) {
+func (w *silenceWatch) run(ctx context.Context, d *Roster) {
 	defer d.stopped.Done()
 	for {
 		t := w.timers.After(silenceLimit)
@@ -209,12 +209,12 @@
 	}
 }
 
-func (d *Discovery) peerAddress(host string) string {
+func (d *Roster) peerAddress(host string) string {
 	return net.JoinHostPort(host, strconv.Itoa(int(d.opts.PeerPort)))
 }
 
 // AnnounceSuspects tells all daemons of the requests that were in progress at a crash.
-func (d *Discovery) AnnounceSuspects() {
+func (d *Roster) AnnounceSuspects() {
 	c := d.Configuration()
 	if c == nil || d.opts.Quarantine == nil {
 		return
@@ -222,7 +222,7 @@
 	suspects := peer.EncodeSuspects(d.opts.Quarantine)
 	for _, t := range c.Targets() {
 		if t.Host() != d.opts.Host {
-			w := &warning{discovery: d, address: t.Peer(), request: &peerpb.WarnRequest{Suspects: suspects}}
+			w := &warning{roster: d, address: t.Peer(), request: &peerpb.WarnRequest{Suspects: suspects}}
 			go w.run()
 		}
 	}
@@ -230,19 +230,19 @@
 
 // warning is one call that tells another daemon of suspects.
 type warning struct {
-	discovery *Discovery
-	address   string
-	request   *peerpb.WarnRequest
+	roster  *Roster
+	address string
+	request *peerpb.WarnRequest
 }
 
 func (w *warning) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), warnTimeout)
 	defer cancel()
-	conn, err := w.discovery.opts.Pool.Conn(w.address)
+	conn, err := w.roster.opts.Pool.Conn(w.address)
 	if err == nil {
 		_, err = peerpb.NewReplicationClient(conn).Warn(ctx, w.request)
 	}
 	if err != nil {
-		w.discovery.opts.Log.V(1).Info("suspects not told", "peer", w.address, "reason", err.Error())
+		w.roster.opts.Log.V(1).Info("suspects not told", "peer", w.address, "reason", err.Error())
 	}
 }
--- a/internal/discovery/hub.go
+++ b/internal/roster/hub.go
@@ -1,4 +1,4 @@
-package discovery
+package roster
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 
 // hub serves the daemons that follow this one. Only the control goroutine uses followers.
 type hub struct {
-	discovery *Discovery
+	roster    *Roster
 	requests  chan *followRequest
 	leaving   chan *follower
 	followers map[*follower]bool
@@ -43,20 +43,20 @@
 	answer chan *follower
 }
 
-func (h *hub) init(d *Discovery) {
-	h.discovery = d
+func (h *hub) init(d *Roster) {
+	h.roster = d
 	h.requests = make(chan *followRequest)
 	h.leaving = make(chan *follower)
 	h.followers = make(map[*follower]bool)
 }
 
 // Register adds the service to the server of this daemon.
-func (d *Discovery) Register(server grpc.ServiceRegistrar) {
+func (d *Roster) Register(server grpc.ServiceRegistrar) {
 	peerpb.RegisterReplicationServer(server, d)
 }
 
 // Follow serves one daemon until it leaves.
-func (d *Discovery) Follow(
+func (d *Roster) Follow(
 	request *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowFrame],
 ) error {
 	ctx := stream.Context()
@@ -85,7 +85,7 @@
 
 // leave tells the control goroutine that a follower is gone, unless that has stopped.
 func (h *hub) leave(_ context.Context, f *follower) {
-	t := h.discovery.opts.Timers.After(beatInterval)
+	t := h.roster.opts.Timers.After(beatInterval)
 	defer t.Stop()
 	select {
 	case h.leaving <- f:
@@ -95,7 +95,7 @@
 }
 
 // answer adds a follower. Its first frame holds what it lacks.
-func (d *Discovery) answer(request *followRequest) *follower {
+func (d *Roster) answer(request *followRequest) *follower {
 	f := &follower{host: request.host, frames: make(chan *peerpb.FollowFrame, frameQueue)}
 	frame := d.frame()
 	now := d.opts.Timers.Now()
@@ -118,7 +118,7 @@
 	if len(h.followers) == 0 {
 		return
 	}
-	frame := h.discovery.frame()
+	frame := h.roster.frame()
 	for _, record := range changed {
 		frame.Records = append(frame.Records, encodeRecord(record, 0))
 	}
@@ -133,7 +133,7 @@
 }
 
 // frame returns a frame without records.
-func (d *Discovery) frame() *peerpb.FollowFrame {
+func (d *Roster) frame() *peerpb.FollowFrame {
 	now := d.opts.Timers.Now()
 	frame := &peerpb.FollowFrame{Complete: uint64(d.replica.complete), Reader: d.election.reading(now)}
 	if !d.replica.confirmed.IsZero() {
@@ -153,7 +153,7 @@
 func milliseconds(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) } // #nosec G115 -- not below 0
 
 // Warn takes the suspects that another daemon tells.
-func (d *Discovery) Warn(_ context.Context, request *peerpb.WarnRequest) (*peerpb.WarnReply, error) {
+func (d *Roster) Warn(_ context.Context, request *peerpb.WarnRequest) (*peerpb.WarnReply, error) {
 	suspects, err := peer.DecodeSuspects(request.GetSuspects())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
--- a/internal/discovery/reader.go
+++ b/internal/roster/reader.go
@@ -1,4 +1,4 @@
-package discovery
+package roster
 
 import (
 	"context"
@@ -31,8 +31,8 @@
 
 // reader watches the registry while this daemon is elected.
 type reader struct {
-	discovery *Discovery
-	failures  int
+	roster   *Roster
+	failures int
 	// relist says that the history was lost, so that only a listing tells what changed.
 	relist bool
 	// doubted is when the registry last failed to tell of a change.
@@ -47,7 +47,7 @@
 	interrupt context.CancelFunc
 }
 
-func (d *Discovery) startReading(ctx context.Context) {
+func (d *Roster) startReading(ctx context.Context) {
 	d.stopped.Add(2)
 	go d.reader.run(ctx)
 	p := &pinger{reader: &d.reader}
@@ -55,7 +55,7 @@
 }
 
 func (r *reader) run(ctx context.Context) {
-	d := r.discovery
+	d := r.roster
 	defer d.stopped.Done()
 	for d.election.wait(ctx) {
 		began := d.opts.Timers.Now()
@@ -76,7 +76,7 @@
 
 // read makes one call and passes what it tells to the control goroutine.
 func (r *reader) read(ctx context.Context) error {
-	d := r.discovery
+	d := r.roster
 	began := d.opts.Timers.Now()
 	// Other daemons may have told of later changes while this one didn't read.
 	after := cicadacross.Revision(max(r.position.Load(), d.completed.Load()))
@@ -118,19 +118,19 @@
 	r.mu.Lock()
 	r.interrupt = cancel
 	r.mu.Unlock()
-	changes, err := r.discovery.opts.Registry.Watch(watchCtx, after, r.waitTime())
+	changes, err := r.roster.opts.Registry.Watch(watchCtx, after, r.waitTime())
 	r.mu.Lock()
 	r.interrupt = nil
 	r.mu.Unlock()
 	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		r.doubted = r.discovery.opts.Timers.Now()
+		r.doubted = r.roster.opts.Timers.Now()
 		return cicadacross.Changes{Revision: after}, nil
 	}
 	return changes, err
 }
 
 func (r *reader) waitTime() time.Duration {
-	if r.doubted.IsZero() || r.discovery.opts.Timers.Now().Sub(r.doubted) > doubtTime {
+	if r.doubted.IsZero() || r.roster.opts.Timers.Now().Sub(r.doubted) > doubtTime {
 		return watchWait
 	}
 	return doubtWait
@@ -138,13 +138,13 @@
 
 // note logs the loss and the return of the registry.
 func (r *reader) note(err error) {
-	log := r.discovery.opts.Log
+	log := r.roster.opts.Log
 	if err == nil {
 		if r.lost.Swap(false) {
 			log.Info("the registry answers again", "failures", r.failures)
 		}
 		r.failures = 0
-		r.discovery.election.heard()
+		r.roster.election.heard()
 		return
 	}
 	r.failures++
@@ -162,7 +162,7 @@
 	if d <= 0 {
 		return
 	}
-	t := r.discovery.opts.Timers.After(d)
+	t := r.roster.opts.Timers.After(d)
 	defer t.Stop()
 	select {
 	case <-t.C():
@@ -180,7 +180,7 @@
 }
 
 func (p *pinger) run(ctx context.Context) {
-	d := p.reader.discovery
+	d := p.reader.roster
 	defer d.stopped.Done()
 	t := d.opts.Timers.Every(pingInterval)
 	defer t.Stop()
@@ -197,7 +197,7 @@
 }
 
 func (p *pinger) ping(ctx context.Context) {
-	d := p.reader.discovery
+	d := p.reader.roster
 	began := d.opts.Timers.Now()
 	revision, err := d.opts.Registry.Ping(ctx)
 	if err != nil {
@@ -228,7 +228,7 @@
 	if r.interrupt == nil {
 		return
 	}
-	r.discovery.opts.Log.Info("a watch of the registry was cut without a sign", "position", r.position.Load(),
+	r.roster.opts.Log.Info("a watch of the registry was cut without a sign", "position", r.position.Load(),
 		"revision", revision)
 	r.interrupt()
 }
--- a/internal/discovery/replica.go
+++ b/internal/roster/replica.go
@@ -1,4 +1,4 @@
-package discovery
+package roster
 
 import (
 	"time"
@@ -75,7 +75,7 @@
 		if u.ages != nil {
 			learned = now.Add(-u.ages[i])
 		}
-		if r.put(now, record, learned) {
+		if r.put(record, learned) {
 			changed = append(changed, record)
 		}
 	}
@@ -86,7 +86,7 @@
 	return changed
 }
 
-func (r *replica) put(now time.Time, record cicadacross.Record, learned time.Time) bool {
+func (r *replica) put(record cicadacross.Record, learned time.Time) bool {
 	h, ok := r.records[record.Key]
 	if ok && h.record.Revision >= record.Revision {
 		return false
@@ -115,7 +115,7 @@
 			continue
 		}
 		gone := cicadacross.Record{Key: key, Revision: u.changes.Revision, Removed: true}
-		if r.put(now, gone, now) {
+		if r.put(gone, now) {
 			removed = append(removed, gone)
 		}
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/roster/roster.go
@@ -1,10 +1,10 @@
-// Package discovery follows the platform's registry, in which the operator publishes the routing and upstreams register
+// Package roster follows the platform's registry, in which the operator publishes the routing and upstreams register
 // themselves, and turns it into the configuration in force.
 //
 // A few daemons of each availability zone watch the registry; all daemons spread what they know among themselves. Each
 // daemon holds a replica of the registry's records. The registry's revisions order all changes, so that it doesn't
 // matter from whom a record comes.
-package discovery
+package roster
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 	updateQueue = 64
 )
 
-// Options configures a Discovery. Host, AvailabilityZone, Registry, Format and Timers are required.
+// Options configures a Roster. Host, AvailabilityZone, Registry, Format and Timers are required.
 type Options struct {
 	// Host is the IP address of this host.
 	Host             string
@@ -49,8 +49,8 @@
 	OnApply func(previous, next *cicadacross.Configuration)
 }
 
-// Discovery is the control part of a daemon whose configuration comes from a registry. It is safe for concurrent use.
-type Discovery struct {
+// Roster is the control part of a daemon whose configuration comes from a registry. It is safe for concurrent use.
+type Roster struct {
 	peerpb.UnimplementedReplicationServer
 
 	opts    Options
@@ -84,7 +84,7 @@
 }
 
 // New returns a control part. Start begins to follow the registry.
-func New(opts Options) (*Discovery, error) {
+func New(opts Options) (*Roster, error) {
 	if opts.Registry == nil || opts.Format == nil || opts.Timers == nil || opts.Host == "" {
 		return nil, newError("new", KindSetup, "host, registry, format and timers are required")
 	}
@@ -94,21 +94,21 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewRegistry()
 	}
-	d := &Discovery{
+	d := &Roster{
 		opts: opts, replica: newReplica(), updates: make(chan update, updateQueue), started: opts.Timers.Now(),
-		changes:  metrics.GetOrRegisterCounter("discovery.records_changed", opts.Metrics),
-		rejected: metrics.GetOrRegisterCounter("discovery.routing_rejected", opts.Metrics),
+		changes:  metrics.GetOrRegisterCounter("registry.records_changed", opts.Metrics),
+		rejected: metrics.GetOrRegisterCounter("registry.routing_rejected", opts.Metrics),
 	}
 	d.view = newView(&d.opts)
 	d.status.Store(&progress{})
 	d.hub.init(d)
 	d.election.init(d)
-	d.reader.discovery = d
+	d.reader.roster = d
 	return d, nil
 }
 
 // Start begins to follow the registry and other daemons until Stop.
-func (d *Discovery) Start() {
+func (d *Roster) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.stopped.Add(1)
@@ -118,7 +118,7 @@
 }
 
 // Stop ends all goroutines and waits for their end.
-func (d *Discovery) Stop() {
+func (d *Roster) Stop() {
 	if d.cancel != nil {
 		d.cancel()
 		d.stopped.Wait()
@@ -126,10 +126,10 @@
 }
 
 // Configuration returns the configuration in force, or nil when none is known.
-func (d *Discovery) Configuration() *cicadacross.Configuration { return d.current.Load() }
+func (d *Roster) Configuration() *cicadacross.Configuration { return d.current.Load() }
 
 // Leaving reports whether the target of the host takes no new work, because it said so or is gone.
-func (d *Discovery) Leaving(host string) bool {
+func (d *Roster) Leaving(host string) bool {
 	c := d.current.Load()
 	if c == nil {
 		return false
@@ -139,10 +139,10 @@
 }
 
 // SetDraining says whether this daemon is about to stop.
-func (d *Discovery) SetDraining(draining bool) { d.draining.Store(draining) }
+func (d *Roster) SetDraining(draining bool) { d.draining.Store(draining) }
 
 // run is the control goroutine: it alone changes the replica and builds configurations.
-func (d *Discovery) run(ctx context.Context) {
+func (d *Roster) run(ctx context.Context) {
 	defer d.stopped.Done()
 	prune := d.opts.Timers.Every(pruneInterval)
 	defer prune.Stop()
@@ -172,7 +172,7 @@
 }
 
 // lapseTimer fires when a record that lapsed during an outage stops to count.
-func (d *Discovery) lapseTimer() (<-chan time.Time, func()) {
+func (d *Roster) lapseTimer() (<-chan time.Time, func()) {
 	now := d.opts.Timers.Now()
 	next := d.replica.nextLapse(now)
 	if next.IsZero() {
@@ -183,7 +183,7 @@
 }
 
 // take merges an update and brings what changed into force.
-func (d *Discovery) take(u update) {
+func (d *Roster) take(u update) {
 	now := d.opts.Timers.Now()
 	changed := d.replica.merge(now, u)
 	s := *d.status.Load()
@@ -203,7 +203,7 @@
 	d.hub.publish(changed)
 }
 
-func (d *Discovery) takeRouting(now time.Time, record cicadacross.Record) {
+func (d *Roster) takeRouting(now time.Time, record cicadacross.Record) {
 	if err := d.view.readRouting(record); err != nil {
 		d.rejected.Inc(1)
 		d.opts.Log.Error(err, "routing is not usable; the one in force stays", "revision", uint64(record.Revision))
@@ -214,7 +214,7 @@
 }
 
 // rebuild brings the configuration that the records describe into force.
-func (d *Discovery) rebuild() {
+func (d *Roster) rebuild() {
 	now := d.opts.Timers.Now()
 	next := d.view.build(now, d.replica)
 	if next == nil {
@@ -237,7 +237,7 @@
 }
 
 // send passes an update to the control goroutine.
-func (d *Discovery) send(ctx context.Context, u update) {
+func (d *Roster) send(ctx context.Context, u update) {
 	select {
 	case d.updates <- u:
 	case <-ctx.Done():
--- a/internal/discovery/discovery_test.go
+++ b/internal/roster/roster_test.go
@@ -1,4 +1,4 @@
-package discovery_test
+package roster_test
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"cicadacross/internal/discovery"
 	"cicadacross/internal/peer"
+	"cicadacross/internal/roster"
 	"cicadacross/internal/timer"
 	"cicadacross/platform"
 	"cicadacross/platform/standin"
@@ -38,7 +38,7 @@
 
 // node is one daemon's control part, served to others on an address of its own.
 type node struct {
-	*discovery.Discovery
+	*roster.Roster
 	store *standin.Store // the store as this node reaches it
 }
 
@@ -48,7 +48,7 @@
 	registry, err := platform.NewStore(store.Address(), netip.Addr{})
 	assert.NilError(t, err)
 	pool := peer.NewPool(fleetKey)
-	d, err := discovery.New(discovery.Options{
+	d, err := roster.New(roster.Options{
 		Host: host, AvailabilityZone: "z1", Service: "desk", PeerPort: port, OperatorPort: port + 1,
 		Registry: registry, Format: platform.Format{}, Timers: timer.System{}, Pool: pool,
 	})
@@ -64,7 +64,7 @@
 		d.Stop()
 		pool.Close()
 	})
-	return &node{Discovery: d, store: store}
+	return &node{Roster: d, store: store}
 }
 
 func serve(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
--- a/internal/discovery/state.go
+++ b/internal/roster/state.go
@@ -1,4 +1,4 @@
-package discovery
+package roster
 
 import (
 	"time"
@@ -21,7 +21,7 @@
 }
 
 // Status returns the present state.
-func (d *Discovery) Status() Status {
+func (d *Roster) Status() Status {
 	s := d.status.Load()
 	return Status{
 		Applied: s.applied, AppliedAt: s.appliedAt, Confirmed: s.confirmed, Refused: s.refused, RefusedAt: s.refusedAt,
@@ -30,7 +30,7 @@
 }
 
 // Daemons returns how many daemons the fleet has, with this one, at least 1.
-func (d *Discovery) Daemons() int {
+func (d *Roster) Daemons() int {
 	c := d.Configuration()
 	if c == nil {
 		return 1
