--- a/cmd/cicadacrossd/main.go
+++ b/cmd/cicadacrossd/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 
 	"cicadacross/internal/daemon"
@@ -35,17 +36,33 @@
 
 // run serves until ctx ends and then shuts the daemon down gracefully.
 func run(ctx context.Context, settings daemon.Settings) error {
-	log := settings.NewLog(os.Stderr)
+	lines := journal.NewQueue(os.Stdout)
+	defer lines.Close()
+	log := settings.NewLog(lines)
 	journal.Capture(log)
 	d, err := daemon.New(settings, daemon.Options{Log: log})
 	if err != nil {
 		return err
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	if err := d.Start(); err != nil {
 		return err
 	}
 	// go-zero writes profiles to the file system on these signals; a daemon writes nothing there.
 	signal.Ignore(syscall.SIGUSR1, syscall.SIGUSR2)
-	<-ctx.Done()
+	serve(ctx, hangups, log)
 	return d.Shutdown(context.Background())
 }
+
+// serve waits for the end of ctx. A hangup doesn't end the daemon: settings hold for the life of the process.
+func serve(ctx context.Context, hangups <-chan os.Signal, log logr.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			log.Info("hangup received; settings hold until the process is started again")
+		}
+	}
+}
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -80,7 +80,7 @@
 	p.command.Env = append(os.Environ(), environment...)
 	reader, writer := io.Pipe()
 	p.command.Stdout = writer
-	p.command.Stderr = writer
+	p.command.Stdout, p.command.Stderr = writer, writer
 	assert.NilError(t, p.command.Start())
 	go p.loop(reader)
 	go p.run(writer)
@@ -155,6 +155,9 @@
 // Terminate asks the process to shut down; it doesn't wait.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Hangup sends SIGHUP.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Pause stops the process as a frozen host would.
 func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
 
--- a/internal/daemon/registered.go
+++ b/internal/daemon/registered.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"cicadacross"
 	"cicadacross/internal/ingress"
 	"cicadacross/internal/kernel"
@@ -147,6 +149,7 @@
 		Quarantine: d.suspects, Client: d.client, Balancer: balancer, Placer: placer,
 		Decisions: decisions, Timers: d.timers, Pause: d.pause, Logger: d.log.WithName("ingress"),
 		Dialect: dialect, Service: d.settings.Service,
+		Latency: metrics.GetOrRegisterTimer("requests.latency_ns", d.metrics),
 		Budget: ingress.NewFleetBudget(ingress.FleetBudgetOptions{
 			Ratio: d.settings.RetryRatio, Extra: d.settings.RetryExtra, Window: d.settings.RetryWindow,
 			Timers: d.timers, Daemons: d.registered.Daemons,
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -37,6 +37,9 @@
 	if conn, ok := r.Context().Value(wireKey{}).(*wire); ok {
 		defer conn.forget()
 	}
+	if s.opts.Latency != nil {
+		defer s.opts.Latency.UpdateSince(arrived)
+	}
 	q, fault := s.read(r, arrived)
 	if fault == nil {
 		fault = s.readBody(w, q)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
@@ -62,6 +63,8 @@
 	Placer cicadacross.Placer
 	// Budget bounds the retries that reach upstreams; nil means a share of this daemon's requests.
 	Budget RetryBudget
+	// Latency takes the time from the head of each request to the end of its answer; it may be nil.
+	Latency metrics.Timer
 	// Logger takes events of the server. The zero value discards them.
 	Logger logr.Logger
 }
