ingress: notice connections that were accepted just before the listener closed

Cause: TestShutdownCutsNothing failed once with EOF: the HTTP server's shutdown ended before a connection that had just been accepted was tracked, and the close after it cut the connection.

--- a/admission.go
+++ b/admission.go
@@ -35,8 +35,6 @@
 	Rank       Rank
 	Deadline   time.Time
 	Repeatable bool
-	// Returning marks a request that was refused before and came back.
-	Returning bool
 	// OnTimeOnly asks for a refusal when the answer would be late.
 	OnTimeOnly bool
 	// Cancel ends the request while it is in progress, so that more urgent work gets its slot; nil when it can't be ended.
@@ -66,9 +64,6 @@
 // Repeatable reports whether the request may run more than once.
 func (w Work) Repeatable() bool { return w.opts.Repeatable }
 
-// Returning reports whether the request was refused before and came back.
-func (w Work) Returning() bool { return w.opts.Returning }
-
 // OnTimeOnly reports whether the request is to be refused when the answer would be late.
 func (w Work) OnTimeOnly() bool { return w.opts.OnTimeOnly }
 
--- a/internal/daemon/registered.go
+++ b/internal/daemon/registered.go
@@ -71,7 +71,6 @@
 	control, err := roster.New(roster.Options{
 		Host:             d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone,
-		Service:          d.settings.Service,
 		PeerPort:         netip.MustParseAddrPort(d.settings.ListenPeer).Port(),
 		OperatorPort:     netip.MustParseAddrPort(d.settings.ListenOperator).Port(),
 		Registry:         registry,
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -116,7 +116,7 @@
 	if s.opts.Quarantine.Blocked(q.fingerprint) {
 		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
 	}
-	search := search{onTime: s.opts.Dialect != nil, late: true}
+	search := targetSearch{onTime: s.opts.Dialect != nil}
 	var last *refused
 	for n := 0; n < s.attempts(q) && search.asked < s.maxAsked(); {
 		target, fault := s.next(q, &search, last)
@@ -145,16 +145,14 @@
 	return last, nil
 }
 
-// search is the state of the search for a target that serves a request.
-type search struct {
+// targetSearch is the state of the search for a target that serves a request.
+type targetSearch struct {
 	// tried holds the hosts that aren't asked again, full those among them that only had no slot in time.
 	tried []string
 	full  int
 	asked int
-	// onTime asks owners to refuse what they would serve late. When some have, one is asked to serve it late, if late is
-	// set: a caller that can come back is better off with an early refusal.
+	// onTime asks owners to refuse what they would serve late. When some have, one is asked to serve it late.
 	onTime bool
-	late   bool
 	// reached holds the hosts whose upstream got the request, rejected those among them whose upstream didn't run it. A
 	// request may be sent to no more than the route's attempts of targets, but again to one that rejected it.
 	reached  []string
@@ -162,7 +160,7 @@
 }
 
 // reach notes that the upstream of the host got the request.
-func (r *search) reach(host string, last *refused) {
+func (r *targetSearch) reach(host string, last *refused) {
 	if !slices.Contains(r.reached, host) {
 		r.reached = append(r.reached, host)
 	}
@@ -173,7 +171,7 @@
 }
 
 // allows reports whether the request may go to the host, when it may reach the given number of targets.
-func (r *search) allows(host string, attempts int) bool {
+func (r *targetSearch) allows(host string, attempts int) bool {
 	if len(r.reached) >= attempts {
 		return slices.Contains(r.rejected, host)
 	}
@@ -181,7 +179,7 @@
 }
 
 // note takes the outcome of an attempt.
-func (r *search) note(host string, last *refused, targets int) {
+func (r *targetSearch) note(host string, last *refused, targets int) {
 	r.asked++
 	r.tried = append(r.tried, host)
 	if !last.unsent() && !last.free() {
@@ -191,7 +189,7 @@
 		return
 	}
 	r.full++
-	if r.late && (r.full >= maxFull || len(r.tried) >= targets) {
+	if r.full >= maxFull || len(r.tried) >= targets {
 		r.tried = nil
 		r.onTime = false
 	}
@@ -199,7 +197,7 @@
 
 // next returns the target of the next attempt, or the answer when there is none. The answer of the attempt before is
 // nil at the first one.
-func (s *Server) next(q *request, search *search, last *refused) (cicadacross.Target, *refused) {
+func (s *Server) next(q *request, search *targetSearch, last *refused) (cicadacross.Target, *refused) {
 	target, ok := s.pick(q, search)
 	switch {
 	case !ok && last == nil:
@@ -255,7 +253,7 @@
 }
 
 // pick chooses the target of one attempt.
-func (s *Server) pick(q *request, search *search) (cicadacross.Target, bool) {
+func (s *Server) pick(q *request, search *targetSearch) (cicadacross.Target, bool) {
 	tried := search.tried
 	if q.key != "" {
 		owner, ok := s.opts.KeyOwner(q.service, q.key)
@@ -411,7 +409,7 @@
 	if s.opts.Dialect != nil {
 		aim := uint64(max(0, s.aimLeft(q).Milliseconds())) // #nosec G115
 		head.Confirm = !s.opts.Client.IsLocal(target)
-		head.AimMs, head.Returning, head.Authority = &aim, q.returning, q.http.Host
+		head.AimMs, head.Authority = &aim, q.http.Host
 	}
 	return head
 }
--- a/internal/ingress/marked.go
+++ b/internal/ingress/marked.go
@@ -93,7 +93,6 @@
 		limit = min(limit, marks.Timeout)
 		usual := s.patience.usual(q.route.Name(), marks.Timeout)
 		if float64(marks.Timeout) < returningShare*float64(usual) {
-			q.returning = true
 			q.aim = max(0, q.aim-(time.Duration(meanPatience*float64(usual))-marks.Timeout))
 		}
 	}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -42,8 +42,6 @@
 	fingerprint uint64
 	// aim is what is left of the time within which the answer has its full worth, counted from the arrival.
 	aim time.Duration
-	// returning marks a request that was refused before and came back.
-	returning bool
 	// arrived is when the request was read.
 	arrived time.Time
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -28,6 +28,9 @@
 	// headerLimit bounds the time for a request header, against callers that send it byte by byte.
 	headerLimit = 10 * time.Second
 	idleLimit   = 2 * time.Minute
+	// acceptedLimit is the time after the end of the listener in which a connection that was just accepted is noticed by
+	// the HTTP server, which otherwise ends without it.
+	acceptedLimit = 100 * time.Millisecond
 
 	// neverForceQuit replaces the 5.5 s after which the library would end a process that is still draining.
 	neverForceQuit = 365 * 24 * time.Hour
@@ -76,6 +79,7 @@
 	budget   RetryBudget
 	evidence evidence
 	draining atomic.Bool
+	listener atomic.Pointer[wireListener]
 	// closing says that connections are closed after their next answer.
 	closing  atomic.Bool
 	patience patience
@@ -152,8 +156,10 @@
 
 // Serve accepts callers until Shutdown; it then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(wireListener{listener})
-	if errors.Is(err, http.ErrServerClosed) {
+	accepting := &wireListener{listener}
+	s.listener.Store(accepting)
+	err := s.http.Serve(accepting)
+	if errors.Is(err, http.ErrServerClosed) || (s.draining.Load() && errors.Is(err, net.ErrClosed)) {
 		return nil
 	}
 	return err
@@ -168,6 +174,17 @@
 // Shutdown refuses new requests, closes the listeners and waits until no request is in progress, or until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
+	if listener := s.listener.Load(); listener != nil {
+		if err := listener.Close(); err != nil {
+			s.opts.Logger.Error(err, "listener not closed")
+		}
+		t := s.opts.Timers.After(acceptedLimit)
+		defer t.Stop()
+		select {
+		case <-t.C():
+		case <-ctx.Done():
+		}
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		return wrapError("shutdown", KindDrain, err, "requests are still in progress")
 	}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -166,7 +166,6 @@
 		Rank:       decodeRank(r.head),
 		Deadline:   r.deadline,
 		Repeatable: r.head.GetRepeatable(),
-		Returning:  r.head.GetReturning(),
 		OnTimeOnly: r.head.GetOnTimeOnly(),
 	}
 	if opts.Repeatable {
--- a/internal/roster/error.go
+++ b/internal/roster/error.go
@@ -9,6 +9,8 @@
 const (
 	// KindPeer means that another daemon could not be followed.
 	KindPeer Kind = "peer"
+	// KindStale means that a routing is older than the one in force.
+	KindStale Kind = "stale"
 	// KindSetup means that a required option is missing.
 	KindSetup Kind = "setup"
 )
--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -130,9 +130,7 @@
 	if err != nil {
 		return err
 	}
-	request := &peerpb.FollowRequest{
-		Host: d.opts.Host, AvailabilityZone: d.opts.AvailabilityZone,
-	}
+	request := &peerpb.FollowRequest{}
 	if held := d.completed.Load(); held > 0 {
 		request.Held = &held
 	}
--- a/internal/roster/hub.go
+++ b/internal/roster/hub.go
@@ -31,7 +31,6 @@
 
 // follower is a daemon that follows this one.
 type follower struct {
-	host   string
 	frames chan *peerpb.FollowFrame
 }
 
@@ -60,14 +59,14 @@
 	request *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowFrame],
 ) error {
 	ctx := stream.Context()
-	ask := &followRequest{host: request.GetHost(), held: request.Held, answer: make(chan *follower, 1)}
+	ask := &followRequest{held: request.Held, answer: make(chan *follower, 1)}
 	select {
 	case d.hub.requests <- ask:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	f := <-ask.answer
-	defer d.hub.leave(ctx, f)
+	defer d.hub.leave(f)
 	for {
 		select {
 		case frame, ok := <-f.frames:
@@ -84,7 +83,7 @@
 }
 
 // leave tells the control goroutine that a follower is gone, unless that has stopped.
-func (h *hub) leave(_ context.Context, f *follower) {
+func (h *hub) leave(f *follower) {
 	t := h.roster.opts.Timers.After(beatInterval)
 	defer t.Stop()
 	select {
@@ -96,7 +95,7 @@
 
 // answer adds a follower. Its first frame holds what it lacks.
 func (d *Roster) answer(request *followRequest) *follower {
-	f := &follower{host: request.host, frames: make(chan *peerpb.FollowFrame, frameQueue)}
+	f := &follower{frames: make(chan *peerpb.FollowFrame, frameQueue)}
 	frame := d.frame()
 	now := d.opts.Timers.Now()
 	after := cicadacross.Revision(0)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -32,7 +32,6 @@
 	// Host is the IP address of this host.
 	Host             string
 	AvailabilityZone string
-	Service          string
 	// PeerPort and OperatorPort are the ports of the daemons of all hosts.
 	PeerPort     uint16
 	OperatorPort uint16
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -49,7 +49,7 @@
 	assert.NilError(t, err)
 	pool := peer.NewPool(fleetKey)
 	d, err := roster.New(roster.Options{
-		Host: host, AvailabilityZone: "z1", Service: "desk", PeerPort: port, OperatorPort: port + 1,
+		Host: host, AvailabilityZone: "z1", PeerPort: port, OperatorPort: port + 1,
 		Registry: registry, Format: platform.Format{}, Timers: timer.System{}, Pool: pool,
 	})
 	assert.NilError(t, err)
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -44,7 +44,7 @@
 	}
 	v.revision = record.Revision
 	if routing.Number < v.routing.Number {
-		return newError("apply", KindSetup, "version %d is older than version %d, which stays in force", routing.Number,
+		return newError("apply", KindStale, "version %d is older than version %d, which stays in force", routing.Number,
 			v.routing.Number)
 	}
 	sum := sha256.Sum256(record.Value)
