roster, pack: compress large records between daemons

A reader sends hundreds of KB to each daemon of its zone. Change: values of 1 KB or more travel compressed; fleet's compression moved to a package of its own.

--- a/internal/fleet/provider.go
+++ b/internal/fleet/provider.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"cicadacross"
+	"cicadacross/internal/pack"
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/register"
 )
@@ -106,7 +107,7 @@
 		if len(reply.GetDictionary()) > 0 {
 			dictionary, _ = local.get(hex.EncodeToString(reply.GetDictionary()))
 		}
-		data, err := decompress(reply.GetData(), dictionary)
+		data, err := pack.Decompress(reply.GetData(), dictionary)
 		if err != nil {
 			return err
 		}
--- a/internal/fleet/values.go
+++ b/internal/fleet/values.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"cicadacross"
+	"cicadacross/internal/pack"
 	"cicadacross/internal/peerpb"
 )
 
@@ -88,7 +89,7 @@
 	defer s.mu.Unlock()
 	packed, done := s.compressed[key]
 	if !done {
-		packed = compress(data, base)
+		packed = pack.Compress(data, base)
 		s.keep(key, packed)
 	}
 	return &peerpb.FetchReply{Digest: digest, Data: packed, Dictionary: dictionary}
--- a/internal/fleet/compress.go
+++ b/internal/pack/pack.go
@@ -1,4 +1,5 @@
-package fleet
+// Package pack compresses the values that daemons send to each other.
+package pack
 
 import (
 	"github.com/klauspost/compress/zstd"
@@ -17,8 +18,8 @@
 	decoderMemory = 4 << 20
 )
 
-// compress returns the value compressed against the dictionary, which may be empty.
-func compress(data, dictionary []byte) []byte {
+// Compress returns the value compressed against the dictionary, which may be empty.
+func Compress(data, dictionary []byte) []byte {
 	window := minWindow
 	for window < len(data)+len(dictionary) {
 		window *= 2
@@ -38,8 +39,8 @@
 	return encoder.EncodeAll(data, nil)
 }
 
-// decompress returns the value, or an error when it is damaged or too large.
-func decompress(packed, dictionary []byte) ([]byte, error) {
+// Decompress returns the value, or an error when it is damaged or too large.
+func Decompress(packed, dictionary []byte) ([]byte, error) {
 	const op = "decompress"
 	options := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(decoderMemory),
--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -147,15 +147,18 @@
 			return wrapError("follow", KindPeer, err, "host %s", s.host)
 		}
 		silence.mark()
-		s.take(ctx, frame)
+		if err := s.take(ctx, frame); err != nil {
+			return err
+		}
 	}
 }
 
-// take passes a frame to the control goroutine.
-func (s *source) take(ctx context.Context, frame *peerpb.FollowFrame) {
+// take passes a frame to the control goroutine. A frame that can't be decoded ends the stream, so that a new one begins
+// with what is missing.
+func (s *source) take(ctx context.Context, frame *peerpb.FollowFrame) error {
 	d := s.following.roster
 	if frame.ConfirmedAgeMs == nil || frame.GetComplete() == 0 {
-		return
+		return nil
 	}
 	age := duration(frame.GetConfirmedAgeMs())
 	if frame.GetReader() {
@@ -164,12 +167,15 @@
 	u := update{whole: frame.GetWhole(), age: age, ages: []time.Duration{}}
 	u.changes.Revision = cicadacross.Revision(frame.GetComplete())
 	for _, r := range frame.GetRecords() {
-		u.changes.Records = append(u.changes.Records, cicadacross.Record{
-			Key: r.GetKey(), Value: r.GetValue(), Revision: cicadacross.Revision(r.GetRevision()), Removed: r.GetRemoved(),
-		})
+		record, err := decodeRecord(r)
+		if err != nil {
+			return err
+		}
+		u.changes.Records = append(u.changes.Records, record)
 		u.ages = append(u.ages, duration(r.GetAgeMs()))
 	}
 	d.send(ctx, u)
+	return nil
 }
 
 func duration(ms uint64) time.Duration {
--- a/internal/roster/hub.go
+++ b/internal/roster/hub.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	"cicadacross"
+	"cicadacross/internal/pack"
 	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 )
@@ -36,7 +37,6 @@
 
 // followRequest asks the control goroutine for what another daemon lacks.
 type followRequest struct {
-	host string
 	// held is the revision up to which the daemon lacks nothing; nil when it holds nothing.
 	held   *uint64
 	answer chan *follower
@@ -142,11 +142,32 @@
 	return frame
 }
 
+// packedSize is the size from which a value is compressed, in bytes. A routing of a grown fleet has hundreds of KB,
+// which a reader with a slow link sends to all daemons of its zone.
+const packedSize = 1 << 10
+
 func encodeRecord(record cicadacross.Record, age time.Duration) *peerpb.Record {
-	return &peerpb.Record{
+	encoded := &peerpb.Record{
 		Key: record.Key, Value: record.Value, Revision: uint64(record.Revision), Removed: record.Removed,
 		AgeMs: milliseconds(age),
 	}
+	if len(record.Value) >= packedSize {
+		encoded.Value, encoded.Packed = pack.Compress(record.Value, nil), true
+	}
+	return encoded
+}
+
+func decodeRecord(r *peerpb.Record) (cicadacross.Record, error) {
+	value := r.GetValue()
+	if r.GetPacked() {
+		var err error
+		if value, err = pack.Decompress(value, nil); err != nil {
+			return cicadacross.Record{}, wrapError("decode", KindPeer, err, "record %q", r.GetKey())
+		}
+	}
+	return cicadacross.Record{
+		Key: r.GetKey(), Value: value, Revision: cicadacross.Revision(r.GetRevision()), Removed: r.GetRemoved(),
+	}, nil
 }
 
 func milliseconds(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) } // #nosec G115 -- not below 0
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,7 +169,8 @@
 	poll.WaitOn(t, second.has(3, 2), within(applyLimit))
 	refused.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable})
 	time.Sleep(1500 * time.Millisecond)
-	store.Put("op/config", routing(9))
+	// A routing of this size travels compressed.
+	store.Put("op/config", strings.Replace(routing(9), "{", `{"note":"`+strings.Repeat("x", 100_000)+`",`, 1))
 	poll.WaitOn(t, first.has(9, 2), within(applyLimit))
 	poll.WaitOn(t, second.has(9, 2), within(applyLimit))
 }
