--- a/internal/journal/queue.go
+++ b/internal/journal/queue.go
@@ -13,26 +13,36 @@
 // Queue is a writer that never blocks: lines wait for the writer below, and are dropped and counted when too many do.
 // Its methods are safe for concurrent use.
 type Queue struct {
-	writer  io.Writer
-	lines   chan []byte
+	writer io.Writer
+	lines  chan queuedLine
+	// dropped counts all dropped lines, pending those that the log doesn't tell of yet.
 	dropped atomic.Int64
+	pending atomic.Int64
 	once    sync.Once
 	done    chan struct{}
 }
 
+// queuedLine is one line with the number of lines that were dropped right before it.
+type queuedLine struct {
+	text    []byte
+	dropped int64
+}
+
 // NewQueue returns a queue in front of the writer. Close writes what waits.
 func NewQueue(w io.Writer) *Queue {
-	q := &Queue{writer: w, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	q := &Queue{writer: w, lines: make(chan queuedLine, queueLines), done: make(chan struct{})}
 	go q.run()
 	return q
 }
 
 // Write queues one line.
 func (q *Queue) Write(line []byte) (int, error) {
+	before := q.pending.Swap(0)
 	select {
-	case q.lines <- append([]byte(nil), line...):
+	case q.lines <- queuedLine{text: append([]byte(nil), line...), dropped: before}:
 	default:
 		q.dropped.Add(1)
+		q.pending.Add(before + 1)
 	}
 	return len(line), nil
 }
@@ -48,13 +58,17 @@
 
 func (q *Queue) run() {
 	defer close(q.done)
-	told := int64(0)
 	for line := range q.lines {
-		if dropped := q.dropped.Load(); dropped > told {
-			q.write([]byte(fmt.Sprintf("level=WARN msg=\"log lines dropped\" count=%d\n", dropped-told)))
-			told = dropped
-		}
-		q.write(line)
+		q.tell(line.dropped)
+		q.write(line.text)
+	}
+	q.tell(q.pending.Swap(0))
+}
+
+// tell writes how many lines are missing at this place.
+func (q *Queue) tell(dropped int64) {
+	if dropped > 0 {
+		q.write(fmt.Appendf(nil, "level=WARN msg=\"log lines dropped\" count=%d\n", dropped))
 	}
 }
 
