admission: large bodies take turns on slow links; ingress: ask fewer owners while few accept

Cause: uploads at 2.3 times their usual rate fill links of 7 Mbit/s on the hosts of the service that quotes and calls of upstreams need. Change: admission.Link schedules bodies that other daemons hold back one after the other on half of the link, and refuses at once those that would wait for more than half of what is left of their target time. Below half and below a quarter of owners that accept, two owners and one are asked for a slot in time in place of three.

--- a/admission.go
+++ b/admission.go
@@ -89,6 +89,15 @@
 	Resize(slots int)
 }
 
+// BodyScheduler divides a link among large bodies. Implementations are safe for concurrent use.
+type BodyScheduler interface {
+	// Reserve takes a body of the size in bytes, below 0 when unknown, that must begin to arrive within the limit, and
+	// returns how long its sender must wait. An error means that the link takes it only later.
+	Reserve(size int64, limit time.Duration) (time.Duration, error)
+	// Cancel gives back what was reserved for a body that doesn't arrive.
+	Cancel(size int64)
+}
+
 // Slot is the right to run one request on the target.
 type Slot interface {
 	// Release gives the slot back. Only the first call has an effect.
--- a/internal/daemon/registered.go
+++ b/internal/daemon/registered.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"cicadacross"
+	"cicadacross/internal/admission"
 	"cicadacross/internal/ingress"
 	"cicadacross/internal/kernel"
 	"cicadacross/internal/operator"
@@ -136,6 +137,7 @@
 		Host: d.settings.Host, Configuration: d.control.Configuration, Leaving: d.control.Leaving,
 		Admission: d.admission, Quarantine: d.suspects, Upstream: d.upstream, Timers: d.timers, Decisions: decisions,
 		Pause: d.pause, Classify: classify, Dialect: dialect,
+		Bodies: admission.NewLink(admission.LinkOptions{Mbps: d.settings.LinkMbps, Timers: d.timers}),
 	})
 	d.client = relay.NewClient(relay.ClientOptions{
 		Pool: d.pool, Host: d.settings.Host, Local: d.owner, Timers: d.timers,
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -116,7 +116,7 @@
 	if s.opts.Quarantine.Blocked(q.fingerprint) {
 		return unavailable(relay.RefusalQuarantined, "the request crashed upstreams and is quarantined"), nil
 	}
-	search := targetSearch{onTime: s.opts.Dialect != nil}
+	search := targetSearch{onTime: s.opts.Dialect != nil, maxFull: s.acceptance.questions(q.route.Name())}
 	var last *refused
 	for n := 0; n < s.attempts(q) && search.asked < s.maxAsked(); {
 		target, fault := s.next(q, &search, last)
@@ -129,6 +129,9 @@
 		var err error
 		last, err = s.attempt(w, q, target, head, n+1 >= s.attempts(q))
 		n += s.counts(last)
+		if head.OnTimeOnly {
+			s.acceptance.note(q.route.Name(), last == nil || last.reason != relay.RefusalShed)
+		}
 		q.mayHaveRun = q.mayHaveRun || last == nil || last.outcome != cicadacross.OutcomeNotRun
 		if last == nil || err != nil || !s.retryable(q, last) {
 			return last, err
@@ -153,6 +156,8 @@
 	asked int
 	// onTime asks owners to refuse what they would serve late. When some have, one is asked to serve it late.
 	onTime bool
+	// maxFull is how many owners may say so.
+	maxFull int
 	// reached holds the hosts whose upstream got the request, rejected those among them whose upstream didn't run it. A
 	// request may be sent to no more than the route's attempts of targets, but again to one that rejected it.
 	reached  []string
@@ -189,7 +194,7 @@
 		return
 	}
 	r.full++
-	if r.full >= maxFull || len(r.tried) >= targets {
+	if r.full >= r.maxFull || len(r.tried) >= targets {
 		r.tried = nil
 		r.onTime = false
 	}
--- a/internal/ingress/marked.go
+++ b/internal/ingress/marked.go
@@ -19,7 +19,8 @@
 	meanPatience = 0.87
 	// maxMarkedAttempts bounds how many owners are asked for a slot for one request.
 	maxMarkedAttempts = 8
-	// maxFull is how many owners may say that they have no slot in time before one is asked to serve the request late.
+	// maxFull is how many owners at most may say that they have no slot in time before one is asked to serve the request
+	// late.
 	maxFull = 3
 	// minRetryAfter is the shortest time after which a refused caller is asked to come back.
 	minRetryAfter = 50 * time.Millisecond
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -86,6 +86,8 @@
 	closing  atomic.Bool
 	patience patience
 	splits   splits
+	// acceptance says how many owners are worth asking.
+	acceptance acceptance
 }
 
 // New returns a server. Serve accepts callers.
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -28,6 +28,8 @@
 	// KeyOwner returns the target that owns a key of the service.
 	KeyOwner  func(service *cicadacross.Service, key string) (cicadacross.Target, bool)
 	Admission cicadacross.Admission
+	// Bodies schedules the bodies that other daemons hold back; nil means that they may come at once.
+	Bodies cicadacross.BodyScheduler
 	// Keys may be nil; requests that must not repeat need no key then, and a caller doesn't send them again by itself.
 	Keys       cicadacross.Keys
 	Quarantine cicadacross.Quarantine
