admission: steer the part of the link that bodies fill by the delay of small messages

Change: additive increase and multiplicative decrease between 10% and 80%; the signal is the time from the word of arrival to its confirmation, read as soon as it comes.

--- a/admission.go
+++ b/admission.go
@@ -96,6 +96,8 @@
 	Reserve(size int64, limit time.Duration) (time.Duration, error)
 	// Cancel gives back what was reserved for a body that doesn't arrive.
 	Cancel(size int64)
+	// Observe takes the time that a small message took to another daemon and back.
+	Observe(delay time.Duration)
 }
 
 // Slot is the right to run one request on the target.
--- a/internal/admission/link.go
+++ b/internal/admission/link.go
@@ -12,9 +12,17 @@
 // each holds its slot for as long as all of them take, and small requests wait behind their bytes.
 
 const (
-	// bulkShare is the part of the link that large bodies may fill. The rest keeps small requests and answers short, and
-	// covers bodies whose senders are late.
-	bulkShare = 0.5
+	// The part of the link that large bodies may fill lies between minShare and maxShare and begins at startShare. It
+	// falls by shareFactor when a small message takes longer than delayTarget and grows by shareStep when it doesn't, once
+	// in shareInterval: an additive increase and multiplicative decrease that is steered by delay.
+	minShare      = 0.1
+	maxShare      = 0.8
+	startShare    = 0.4
+	shareFactor   = 0.8
+	shareStep     = 0.01
+	shareInterval = 100 * time.Millisecond
+	// delayTarget is a sixth of the 250 ms in which the word of an arrival is due.
+	delayTarget = 40 * time.Millisecond
 	// unknownBody is the size that a body without a length is assumed to have, in bytes.
 	unknownBody = 64 << 10
 	bitsPerByte = 8
@@ -33,10 +41,33 @@
 	mu   sync.Mutex
 	// free is the time at which all bodies that were accepted are expected to have arrived.
 	free time.Time
+	// share is the part of the link that bodies may fill at present, adjusted the time of its last change.
+	share    float64
+	adjusted time.Time
+	// slowest is the longest delay since then.
+	slowest time.Duration
 }
 
 // NewLink returns a link that no body uses.
-func NewLink(opts LinkOptions) *Link { return &Link{opts: opts} }
+func NewLink(opts LinkOptions) *Link { return &Link{opts: opts, share: startShare} }
+
+// Observe takes the time that a small message took to another daemon and back: the waits for both links and for both
+// processors.
+func (l *Link) Observe(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.opts.Timers.Now()
+	l.slowest = max(l.slowest, delay)
+	if now.Sub(l.adjusted) < shareInterval {
+		return
+	}
+	if l.slowest > delayTarget {
+		l.share = max(minShare, shareFactor*l.share)
+	} else {
+		l.share = min(maxShare, l.share+shareStep)
+	}
+	l.adjusted, l.slowest = now, 0
+}
 
 // Reserve takes a body of the size in bytes, below 0 when that is unknown, that must begin to arrive within the limit.
 // It returns how long its sender must wait. The error is an *Error that says when the link is likely to take the body.
@@ -72,6 +103,6 @@
 	if size < 0 {
 		size = unknownBody
 	}
-	perSecond := bulkShare * l.opts.Mbps * 1e6 / bitsPerByte
+	perSecond := l.share * l.opts.Mbps * 1e6 / bitsPerByte
 	return time.Duration(float64(size) / perSecond * float64(time.Second))
 }
--- a/internal/journal/queue.go
+++ b/internal/journal/queue.go
@@ -17,8 +17,8 @@
 	// gatherTime is how long lines are gathered for one write: a system call for each line of a busy daemon costs more
 	// than the line.
 	gatherTime = 100 * time.Millisecond
-	// batchSize is the size from which a batch is written at once, in bytes.
-	batchSize = 64 << 10
+	// batchSize is the size of a batch in bytes: the largest write that a pipe takes whole.
+	batchSize = 4 << 10
 )
 
 // QueueOptions configures a Queue. Writer is required.
@@ -104,7 +104,7 @@
 	case <-t.C():
 	case <-q.closing:
 	}
-	for len(q.batch) < batchSize {
+	for {
 		select {
 		case line, ok := <-q.lines:
 			if !ok {
@@ -119,6 +119,9 @@
 
 func (q *Queue) add(line queuedLine) {
 	q.tell(line.dropped)
+	if len(q.batch)+len(line.text) > batchSize {
+		q.flush()
+	}
 	q.batch = append(q.batch, line.text...)
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -28,7 +28,8 @@
 	key       cicadacross.KeyRun // nil for repeatable requests
 	release   func()             // gives slot and place in progress back; nil before they are taken
 	preempted atomic.Bool
-	gone      bool // the ingress daemon takes no more messages
+	gone      bool          // the ingress daemon takes no more messages
+	confirmed *confirmation // nil when the run waits for none
 }
 
 func newRun(o *Owner, s session, head *peerpb.ForwardHead) *run {
@@ -255,6 +256,10 @@
 	if err := r.send(startedMessage(false)); err != nil {
 		r.gone = true
 	}
+	if r.head.GetConfirm() {
+		r.confirmed = &confirmation{run: r, asked: r.owner.opts.Timers.Now(), received: make(chan error, 1)}
+		go r.confirmed.loop()
+	}
 }
 
 // confirmLimit bounds the wait for the confirmation of a request that has a slot. It was asked for when the request
@@ -263,12 +268,10 @@
 
 // awaitConfirm waits until the sender knows that the request has arrived.
 func (r *run) awaitConfirm() error {
-	c := &confirmation{session: r.session, received: make(chan error, 1)}
-	go c.run()
 	t := r.owner.opts.Timers.After(confirmLimit)
 	defer t.Stop()
 	select {
-	case err := <-c.received:
+	case err := <-r.confirmed.received:
 		return err
 	case <-t.C():
 		return newError("confirm", KindBroken, "no confirmation came in %v", confirmLimit)
@@ -277,12 +280,16 @@
 
 // confirmation is one wait for a confirmation. It ends at the latest with the stream.
 type confirmation struct {
-	session  session
+	run      *run
+	asked    time.Time
 	received chan error
 }
 
-func (c *confirmation) run() {
-	request, err := c.session.Recv()
+func (c *confirmation) loop() {
+	request, err := c.run.session.Recv()
+	if bodies := c.run.owner.opts.Bodies; err == nil && bodies != nil {
+		bodies.Observe(c.run.owner.opts.Timers.Now().Sub(c.asked))
+	}
 	if err == nil && !request.GetConfirm() {
 		err = newError("confirm", KindBroken, "another message came in place of the confirmation")
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -66,9 +66,9 @@
 	// routing is a copy of the latest routing record for other goroutines; nil when nothing is known.
 	routing  atomic.Pointer[cicadacross.Record]
 	draining atomic.Bool
-	hub       hub
-	election  election
-	reader    reader
+	hub      hub
+	election election
+	reader   reader
 
 	changes  metrics.Counter
 	rejected metrics.Counter
