relay: calls of upstreams are in time within half of the time left

Change: relay.Origins takes a route that only hosts of one service send for such a call; the daemon that takes a request tells its service.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -415,6 +415,7 @@
 		aim := uint64(max(0, s.aimLeft(q).Milliseconds())) // #nosec G115
 		head.Confirm = !s.opts.Client.IsLocal(target)
 		head.AimMs, head.Authority = &aim, q.http.Host
+		head.Origin = s.opts.Service
 	}
 	return head
 }
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -49,6 +49,8 @@
 	peerpb.UnimplementedRelayServer
 	opts OwnerOptions
 
+	origins Origins
+
 	mu         sync.Mutex
 	draining   bool
 	inProgress int
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -164,7 +164,7 @@
 	opts := cicadacross.WorkOptions{
 		RequestID:  r.head.GetRequestId(),
 		Kind:       r.head.GetKind(),
-		Rank:       decodeRank(r.head),
+		Rank:       r.rank(),
 		Deadline:   r.deadline,
 		Repeatable: r.head.GetRepeatable(),
 		OnTimeOnly: r.head.GetOnTimeOnly(),
@@ -496,6 +496,22 @@
 	return d.Sum64()
 }
 
+// callPatience is the part of the time left for a call of an upstream within which it is in time: the request that
+// called has a target time of its own.
+const callPatience = 0.5
+
+// rank returns the rank of the request. A call of an upstream may take longer than its own target time.
+func (r *run) rank() cicadacross.Rank {
+	rank := decodeRank(r.head)
+	if r.head.GetOrigin() == "" || !r.owner.origins.Note(r.head.GetKind(), r.head.GetOrigin()) {
+		return rank
+	}
+	return cicadacross.NewRank(cicadacross.RankOptions{
+		Name: rank.Name(), Urgency: rank.Urgency(), Worth: rank.Worth(),
+		Target: max(rank.Target(), time.Duration(callPatience*float64(r.remaining()))),
+	})
+}
+
 func decodeRank(head *peerpb.ForwardHead) cicadacross.Rank {
 	target := head.GetRankTargetMs()
 	if head.AimMs != nil {
