--- a/internal/roster/hub.go
+++ b/internal/roster/hub.go
@@ -201,8 +201,8 @@
 		var dictionary []byte
 		if r.GetBase() != 0 {
 			if uint64(base.Revision) != r.GetBase() {
-				return cicadacross.Record{}, newError("decode", KindPeer, "record %q is compressed against revision %d, and %d is known",
-					r.GetKey(), r.GetBase(), uint64(base.Revision))
+				return cicadacross.Record{}, newError("decode", KindPeer,
+					"record %q is compressed against revision %d, and %d is known", r.GetKey(), r.GetBase(), uint64(base.Revision))
 			}
 			dictionary = base.Value
 		}
