--- a/internal/journal/queue_test.go
+++ b/internal/journal/queue_test.go
@@ -13,6 +13,32 @@
 	"cicadacross/internal/journal"
 )
 
+// pieces is a writer that keeps what each call wrote.
+type pieces struct{ list [][]byte }
+
+func (p *pieces) Write(piece []byte) (int, error) {
+	p.list = append(p.list, append([]byte(nil), piece...))
+	return len(piece), nil
+}
+
+// Guards against lines that are lost, torn or out of order when several are written at once, and against a system call
+// for each line.
+func TestQueueWritesWholeLinesTogether(t *testing.T) {
+	const lines, pipeBuffer = 1000, 4096
+	var out pieces
+	q := journal.NewQueue(journal.QueueOptions{Writer: &out})
+	var want bytes.Buffer
+	for i := range lines {
+		_, _ = fmt.Fprintf(io.MultiWriter(q, &want), "line %d\n", i)
+	}
+	q.Close()
+	assert.Equal(t, string(bytes.Join(out.list, nil)), want.String())
+	for _, piece := range out.list {
+		assert.Assert(t, len(piece) <= pipeBuffer && bytes.HasSuffix(piece, []byte("\n")))
+	}
+	assert.Assert(t, len(out.list) < lines/20, "%d calls", len(out.list))
+}
+
 // Guards against a process that stands still because nobody reads its log, and against lines dropped without a word.
 func TestQueueNeverBlocks(t *testing.T) {
 	reader, writer := io.Pipe()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -319,6 +319,13 @@
 	poll.WaitOn(t, second.has(4+versions, 2), within(applyLimit))
 	sent := first.sent.Load() + second.sent.Load() - before
 	assert.Assert(t, sent < int64(len(random)), "%d bytes for %d changes", sent, versions)
+	// One that comes later doesn't hold what the difference is to.
+	third := start(t, "127.0.0.3", port, store)
+	poll.WaitOn(t, third.has(4+versions, 2), within(applyLimit))
+	store.Put("op/config", strings.Replace(routing(5+versions), "{", note, 1))
+	for _, n := range []*node{first, second, third} {
+		poll.WaitOn(t, n.has(5+versions, 2), within(applyLimit))
+	}
 }
 
 // Guards against a reader with a slow link, which holds up all daemons of its zone, while others have fast ones.
