--- a/integration/registered_test.go
+++ b/integration/registered_test.go
@@ -82,11 +82,16 @@
 
 // send returns the status and body of one request, or 0 when there was no answer.
 func (f *registeredFleet) send(host, path string, body []byte) (int, string) {
+	return f.sendAs(host, path, fmt.Sprint(time.Now().UnixNano()), body)
+}
+
+// sendAs is send with the identity of the request.
+func (f *registeredFleet) sendAs(host, path, id string, body []byte) (int, string) {
 	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", host, registeredCaller, path), //nolint:noctx
 		bytes.NewReader(body))
 	assert.NilError(f.t, err)
 	r.Host = "shop.example"
-	r.Header["X-Attempt-Id"] = []string{fmt.Sprint(time.Now().UnixNano())}
+	r.Header["X-Attempt-Id"] = []string{id}
 	r.Header["X-Deadline-Remaining"] = []string{"2000"}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 	response, err := client.Do(r)
