fleet: after a failed exchange, try the partners that are likeliest to answer

Change: a failed exchange is followed by up to two with the partners that failed least and were heard last.

--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -21,6 +21,8 @@
 	successorPlaces = 4
 	// askRetry is the delay after a reader that was asked didn't answer.
 	askRetry = 500 * time.Millisecond
+	// maxFurther bounds the exchanges that follow a failed one. A host that is cut off from all makes 3 in a period.
+	maxFurther = 2
 )
 
 // exchangeTask exchanges with one peer.
@@ -31,6 +33,8 @@
 	request *peerpb.ExchangeRequest
 	started time.Time
 	ask     bool // a reader is asked whether it reads
+	// further counts the failed exchanges that this one follows.
+	further int
 }
 
 // exchangeDone is the result of an exchange that this daemon began.
@@ -72,6 +76,9 @@
 				f.log.Info("member is suspect", "member", m.host, "reason", d.err.Error())
 			}
 		}
+		if d.task.further < maxFurther {
+			f.exchangeElsewhere(now, d.task)
+		}
 		return
 	}
 	f.meter.exchanges.Inc(1)
@@ -83,6 +90,24 @@
 	f.exchangeSucceeded(now, d.task, d.word.version)
 }
 
+// exchangeElsewhere follows a failed exchange with one with the partner that is likeliest to answer, so that a host
+// behind a partition finds the neighbours on its side soon, and not when the random choice falls on them.
+func (f *Fleet) exchangeElsewhere(now time.Time, failed *exchangeTask) {
+	var best *member
+	for _, place := range rand.Perm(len(f.partners.hosts)) {
+		m := f.members.get(f.partners.hosts[place])
+		if m != nil && m.host != failed.host && (best == nil || m.likelier(best)) {
+			best = m
+		}
+	}
+	if best == nil {
+		return
+	}
+	t := f.newExchange(now, best.host, best.peer, !f.compact(best.version), sampleSize)
+	t.further = failed.further + 1
+	f.begin(t)
+}
+
 // askAgain brings the next question to a reader forward. One lost answer would otherwise use up the patience of the
 // first successor.
 func (f *Fleet) askAgain(now time.Time) {
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -56,6 +56,14 @@
 	return m.unlisted && now.Sub(m.heard) > unlistedAge
 }
 
+// likelier reports whether the member is likelier to answer than the other: it failed less, or was heard later.
+func (m *member) likelier(other *member) bool {
+	if m.failures != other.failures {
+		return m.failures < other.failures
+	}
+	return m.heard.After(other.heard)
+}
+
 func (m *member) leaves(now time.Time) bool {
 	return m.draining || !m.listedLeaving.IsZero() && now.Sub(m.listedLeaving) < listedLeavingAge
 }
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -144,3 +144,28 @@
 	values[cicadacross.KeyManifest] = []byte(manifest)
 	return values
 }
+
+// Guards against a host that is called cut off although a neighbour answers: exchanges went to random partners, and for
+// longer than cutOffAfter of the status only to those behind a partition.
+func TestNeighbourIsFoundWhenAllOthersAreLost(t *testing.T) {
+	const longest, clusters = 8 * time.Second, 4
+	for range clusters {
+		c := newCluster(t, 6)
+		c.publish(c.publication(1, ""))
+		c.startAll()
+		c.within(10*time.Second, "ready", c.allReady)
+		c.advance(5 * time.Second)
+		for i := 2; i < 6; i++ {
+			c.stop(i)
+		}
+		for passed := time.Duration(0); passed < 20*time.Second; passed += time.Second {
+			c.advance(time.Second)
+			for _, m := range c.nodes[0].Members() {
+				if m.Host == c.nodes[1].opts.Host {
+					assert.Assert(t, m.Age <= longest, "not heard for %v", m.Age)
+				}
+			}
+		}
+		c.stopAll()
+	}
+}
