--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -74,7 +74,7 @@
 	daemon   *harness.Process
 	upstream *standin.Upstream
 	born     int
-	// killed counts the ends of the daemon that weren't graceful, and pauses of it.
+	// disturbed counts the beginnings and the ends of kills and pauses; it is odd during one.
 	disturbed int
 }
 
@@ -278,9 +278,17 @@
 	if ended, err := h.daemon.Wait(5 * time.Second); !ended || err != nil {
 		h.soak.t.Errorf("daemon of host %d: ended %v, %v after SIGTERM", h.n, ended, err)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.startDaemon()
 }
 
+func (h *soakHost) process() *harness.Process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.daemon
+}
+
 func (h *soakHost) crash() {
 	h.upstream.Close()
 	h.soak.store.Remove("servers/" + h.upstream.ID)
@@ -377,9 +385,7 @@
 	last := uint64(0)
 	for ctx.Err() == nil {
 		time.Sleep(pollInterval)
-		h.mu.Lock()
-		before := h.daemon
-		h.mu.Unlock()
+		before := h.process()
 		response, err := soakClient.Get(fmt.Sprintf("http://%s:%d/v1/state", h.ip(), registeredOperator)) //nolint:noctx
 		if err != nil {
 			continue
@@ -391,7 +397,7 @@
 		}
 		err = json.NewDecoder(response.Body).Decode(&state)
 		_ = response.Body.Close()
-		if err != nil || before != h.daemon {
+		if err != nil || before != h.process() {
 			continue
 		}
 		if before == process && state.Version.Number < last {
--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -9,8 +9,8 @@
 		r.gone = true
 	}
 	if r.head.GetConfirm() {
-		r.confirmed = &confirmation{run: r, asked: r.owner.opts.Timers.Now(), received: make(chan error, 1)}
-		go r.confirmed.loop()
+		r.confirmation = &confirmation{run: r, asked: r.owner.opts.Timers.Now(), received: make(chan error, 1)}
+		go r.confirmation.loop()
 	}
 }
 
@@ -23,7 +23,7 @@
 	t := r.owner.opts.Timers.After(confirmLimit)
 	defer t.Stop()
 	select {
-	case err := <-r.confirmed.received:
+	case err := <-r.confirmation.received:
 		return err
 	case <-t.C():
 		return newError("confirm", KindBroken, "no confirmation came in %v", confirmLimit)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -28,8 +28,9 @@
 	key       cicadacross.KeyRun // nil for repeatable requests
 	release   func()             // gives slot and place in progress back; nil before they are taken
 	preempted atomic.Bool
-	gone      bool          // the ingress daemon takes no more messages
-	confirmed *confirmation // nil when the run waits for none
+	gone      bool // the ingress daemon takes no more messages
+	// confirmation is the wait for the sender's confirmation; nil when there is none.
+	confirmation *confirmation
 }
 
 func newRun(o *Owner, s session, head *peerpb.ForwardHead) *run {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -197,18 +197,15 @@
 	for _, c := range changed {
 		if c.record.Key == d.opts.Format.RoutingKey() {
 			d.routing.Store(&c.record)
+			d.takeRouting(now, c.record)
 		}
 	}
+	// After the routing, so that who reads the revision first finds a routing that isn't older.
 	d.completed.Store(uint64(d.replica.complete))
 	if len(changed) == 0 {
 		return
 	}
 	d.changes.Inc(int64(len(changed)))
-	for _, c := range changed {
-		if c.record.Key == d.opts.Format.RoutingKey() {
-			d.takeRouting(now, c.record)
-		}
-	}
 	d.rebuild()
 	d.hub.publish(changed)
 }
