--- a/internal/roster/hub.go
+++ b/internal/roster/hub.go
@@ -164,9 +164,8 @@
 	return frame
 }
 
-// packedSize is the size from which a value is compressed, in bytes. A routing of a grown fleet has hundreds of KB, and
-// 20 to 100 KB when it is compressed, of which a link of 7 Mbit/s carries 9 to 40 a second. Against the value before,
-// a change of one route has some dozen bytes.
+// packedSize is the size from which a value is compressed, in bytes. A routing of a grown fleet has hundreds of KB;
+// against the value before, a change of one route has some dozen bytes.
 const packedSize = 1 << 10
 
 // encodeRecord encodes a record for followers that hold what it was before, or nothing of it.
