--- a/internal/ingress/acceptance.go
+++ b/internal/ingress/acceptance.go
@@ -6,8 +6,8 @@
 	// acceptanceWeight is the weight of one answer in the share of owners that accept.
 	acceptanceWeight = 0.05
 	// scarceAcceptance and rareAcceptance are the shares of owners that accept below which two owners and one are asked
-	// for a slot in time. When few owners have a slot, the questions themselves keep daemons with a fraction of a core from
-	// what they have accepted.
+	// for a slot in time. When few owners have a slot, the questions themselves keep daemons with a fraction of a core
+	// from what they have accepted.
 	scarceAcceptance = 0.5
 	rareAcceptance   = 0.25
 )
