platform: serve routes of unknown kinds, one bad route no longer rejects the routing

Cause: Format.Routing rejected the whole routing for one rule with a kind, timeout or number of attempts that it didn't know, and json.Unmarshal for one field of another type.

Change: download is repeatable with large responses. A route of any other unknown kind is served and never repeated. A figure that is missing or out of range is replaced by the safest value, a route without a usable service refuses its requests with the reason and keeps its prefix, so that they don't take a shorter route. Only a rule whose host or prefix can't be read still rejects the version, since its requests could reach a service that it excludes. Deviations are logged, counted (registry.routing_deviations) and shown by status (condition deviating).

TestInvalidRoutingIsRejected asked for the rejection of the whole version for kind, service, timeout and attempts. That was the fault; TestDeviatingRouteIsServedAsSafelyAsPossible replaces these cases, and the rest got more cases. The three end-to-end tests failed on the old code (503, no configuration after 10 s).

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -224,6 +224,9 @@
 			Reason: status.RejectReason, Age: operator.Age(max(0, r.timers.Now().Sub(status.RejectedAt))),
 		}
 	}
+	for _, deviation := range status.Deviations {
+		state.Deviations = append(state.Deviations, operator.Deviation{Route: deviation.Route, Text: deviation.Text})
+	}
 	return state
 }
 
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -53,6 +53,9 @@
 		return req, notFound("route", "no route for the authority and path")
 	}
 	req.route, req.rank = route, route.Rank()
+	if reason := route.RefusalReason(); reason != "" {
+		return req, unavailable("route_refused", "route "+route.Name()+": "+reason)
+	}
 	s.setTimeLimits(req, metadata, arrived)
 	if refusal := req.setService(s.backendSplitter.nextService(route)); refusal != nil {
 		return req, refusal
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -31,6 +31,8 @@
 	AppliedAge *Age `json:"applied_age_ms,omitempty"`
 	// Refused is the newest refused version, or nil.
 	Refused *Refusal `json:"refused,omitempty"`
+	// Deviations lists the parts of the applied version that are not used as published.
+	Deviations []Deviation `json:"deviations,omitempty"`
 	// Pending lists newer versions that the daemon knows of but has not applied.
 	Pending []Pending `json:"pending,omitempty"`
 	// SourceAge is the time since any daemon known to this one last got a response of the source; nil means never.
@@ -57,6 +59,14 @@
 	Age Age `json:"age_ms"`
 }
 
+// Deviation is a part of the applied version that the daemon can't use as published.
+type Deviation struct {
+	// Route is the name of the route, or "" for a part that belongs to none.
+	Route string `json:"route,omitempty"`
+	// Text says what is wrong and what is done instead.
+	Text string `json:"text"`
+}
+
 // Pending is a newer version that is not applied yet.
 type Pending struct {
 	Version Version `json:"version"`
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -49,13 +49,16 @@
 	ConditionUnreachable Condition = "unreachable from here"
 	// ConditionDraining means that the host accepts no new requests.
 	ConditionDraining Condition = "draining"
+	// ConditionDeviating means that the host can't use a part of its version as published. Others do the same, so it still
+	// counts as having followed.
+	ConditionDeviating Condition = "deviating"
 	// ConditionLeft means that the host would be dead, but is leaving or not in the register.
 	ConditionLeft Condition = "left"
 )
 
 // IsInformational reports whether a host with the condition can still count as having followed.
 func (c Condition) IsInformational() bool {
-	return c == ConditionUnreachable || c == ConditionDraining || c == ConditionLeft
+	return c == ConditionUnreachable || c == ConditionDraining || c == ConditionLeft || c == ConditionDeviating
 }
 
 // Report says whether the fleet has followed, that is, whether its hosts have applied the newest version.
@@ -221,6 +224,7 @@
 		r.addVersionFinding(state.Version, state, add)
 	}
 	addPendingFinding(state, add)
+	addDeviationFinding(state, add)
 	if !state.Ready && !state.Draining {
 		add(ConditionNotReady, nil, "serves no caller yet")
 	}
@@ -247,6 +251,17 @@
 	}
 }
 
+// addDeviationFinding adds one finding on all parts of the applied version that are not used as published, with the
+// text of the first.
+func addDeviationFinding(state *State, add findingFunc) {
+	if len(state.Deviations) == 0 {
+		return
+	}
+	first := state.Deviations[0]
+	add(ConditionDeviating, state.AppliedAge, "can't use %d parts of version %s as published; the first: route %q: %s",
+		len(state.Deviations), state.Version, first.Route, first.Text)
+}
+
 // findingFunc adds a finding on a host; format and args give its text.
 type findingFunc func(c Condition, since *Age, format string, args ...any)
 
--- a/internal/operator/status_test.go
+++ b/internal/operator/status_test.go
@@ -69,6 +69,9 @@
 		{"conflict", func(d *fakeDaemon, _ *operator.Member) { d.state.Version = version(8, "ab") },
 			"conflict: version 8 was published with 2 contents; publish version 9", false},
 		{"not ready", func(d *fakeDaemon, _ *operator.Member) { d.state.Ready = false }, "b1 not ready", false},
+		{"deviating", func(d *fakeDaemon, _ *operator.Member) {
+			d.state.Deviations = []operator.Deviation{{Route: "odd", Text: "unknown kind"}, {Text: "more"}}
+		}, `can't use 2 parts of version 8-bb as published; the first: route "odd": unknown kind`, true},
 		{"paused", func(d *fakeDaemon, _ *operator.Member) { d.state.Paused = true }, "b1 paused", false},
 		{"wrong host", func(d *fakeDaemon, _ *operator.Member) { d.state.Host = "x9" }, "b1 wrong host: host x9", false},
 		{"dead", func(d *fakeDaemon, m *operator.Member) { d.server.Close(); m.HeardAge = age },
--- a/internal/roster/builder.go
+++ b/internal/roster/builder.go
@@ -50,9 +50,26 @@
 	}
 	sum := sha256.Sum256(record.Value)
 	b.routing, b.routingDigest = routing, hex.EncodeToString(sum[:])
+	b.logDeviations(routing)
 	return nil
 }
 
+// maxLoggedDeviations is the maximum number of deviations of one version that are logged.
+const maxLoggedDeviations = 20
+
+// logDeviations logs the parts of a new routing that are not used as published.
+func (b *builder) logDeviations(routing cicadacross.RoutingOptions) {
+	for i, deviation := range routing.Deviations {
+		if i == maxLoggedDeviations {
+			b.opts.Logger.Info("further deviations from the routing record are not logged", "version", routing.Number,
+				"deviations", len(routing.Deviations))
+			return
+		}
+		b.opts.Logger.Info("routing record can't be used as published", "version", routing.Number,
+			"route", deviation.Route, "reason", deviation.Text)
+	}
+}
+
 // decodeInstance decodes the record of an upstream, or returns the cached result for an unchanged revision. The
 // remaining warm-up time counts from learnedAt.
 func (b *builder) decodeInstance(record cicadacross.Record, learnedAt time.Time) *instance {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -73,6 +73,8 @@
 
 	changedRecords   metrics.Counter
 	rejectedRoutings metrics.Counter
+	// deviationCount is the number of parts of the current routing that are not used as published.
+	deviationCount metrics.Gauge
 
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -85,6 +87,7 @@
 	applied      cicadacross.Version
 	rejectReason string
 	rejectedAt   time.Time
+	deviations   []cicadacross.Deviation
 }
 
 // New returns a control plane, which is inactive until Start. The error has KindSetup when the host, registry, format
@@ -103,6 +106,7 @@
 		opts: opts, replica: newReplica(), updates: make(chan update, updateQueueSize), started: opts.Timers.Now(),
 		changedRecords:   metrics.GetOrRegisterCounter("registry.records_changed", opts.Metrics),
 		rejectedRoutings: metrics.GetOrRegisterCounter("registry.routing_rejected", opts.Metrics),
+		deviationCount:   metrics.GetOrRegisterGauge("registry.routing_deviations", opts.Metrics),
 	}
 	d.builder = newBuilder(&d.opts)
 	d.state.Store(&controlState{})
@@ -245,6 +249,8 @@
 	}
 	s := *d.state.Load()
 	s.applied, s.appliedAt = next.Version(), now
+	s.deviations = d.builder.routing.Deviations
+	d.deviationCount.Update(int64(len(s.deviations)))
 	d.state.Store(&s)
 	d.opts.Logger.Info("routing applied", "version", next.Version().Number(), "targets", len(next.Targets()),
 		"registry_age", now.Sub(d.replica.confirmedAt).String())
--- a/internal/roster/status.go
+++ b/internal/roster/status.go
@@ -17,6 +17,8 @@
 	// rejected.
 	RejectReason string
 	RejectedAt   time.Time
+	// Deviations lists the parts of the current routing that are not used as published. It must not be changed.
+	Deviations []cicadacross.Deviation
 	// IsReader reports that the registry has recently confirmed the records to this daemon itself.
 	IsReader bool
 }
@@ -26,7 +28,7 @@
 	state := d.state.Load()
 	return Status{
 		Applied: state.applied, AppliedAt: state.appliedAt, ConfirmedAt: state.confirmedAt,
-		RejectReason: state.rejectReason, RejectedAt: state.rejectedAt,
+		RejectReason: state.rejectReason, RejectedAt: state.rejectedAt, Deviations: state.deviations,
 		IsReader: d.election.isReading(d.opts.Timers.Now()),
 	}
 }
--- a/registry.go
+++ b/registry.go
@@ -82,6 +82,16 @@
 	Limits CallerLimits
 	// Services maps the name of each service to its options.
 	Services map[string]ServiceOptions
+	// Deviations lists the parts that are not used as published.
+	Deviations []Deviation
+}
+
+// Deviation is a part of the published routing that can't be used as it is.
+type Deviation struct {
+	// Route is the name of the route, or "" for a part that belongs to none.
+	Route string
+	// Text says what is wrong and what is done instead.
+	Text string
 }
 
 // ServiceOptions describes a service.
--- a/route.go
+++ b/route.go
@@ -22,6 +22,10 @@
 	Attempts int
 	// LargeBody reports whether the requests have large bodies.
 	LargeBody bool
+	// LargeResponse reports whether the responses have large bodies.
+	LargeResponse bool
+	// RefusalReason says why the requests of the route must be refused; "" means that they are served.
+	RefusalReason string
 }
 
 // defaultAttempts allows the first attempt and at most 2 retries.
@@ -90,6 +94,12 @@
 // LargeBody reports whether the requests have large bodies.
 func (r Route) LargeBody() bool { return r.opts.LargeBody }
 
+// LargeResponse reports whether the responses have large bodies.
+func (r Route) LargeResponse() bool { return r.opts.LargeResponse }
+
+// RefusalReason returns why the requests of the route must be refused, or "" when they are served.
+func (r Route) RefusalReason() string { return r.opts.RefusalReason }
+
 // Matches reports whether the route applies to the method and path. A prefix matches whole path segments:
 // "/lots" matches "/lots" and "/lots/7" and not "/lotsize"; "/lots/" matches "/lots/7" and not "/lots".
 func (r Route) Matches(method, path string) bool {
