ingress, balance: keep large responses within the availability zone

Cause: only requests on routes of kind upload were placed by size.

Change: the zone limit of large bodies also applies to routes with large responses and to routes whose transfers are large on average, which the ingress learns.

--- a/balancer.go
+++ b/balancer.go
@@ -29,8 +29,9 @@
 type PlacementRequest struct {
 	// Route is the name of the route.
 	Route string
-	// LargeBody reports whether the request has a large body, which should stay within the availability zone.
-	LargeBody bool
+	// LargeTransfer reports whether the request or its response has a large body, which should stay within the
+	// availability zone.
+	LargeTransfer bool
 	// TargetTime is the response time up to which the response has its full worth.
 	TargetTime time.Duration
 }
--- a/internal/balance/swift.go
+++ b/internal/balance/swift.go
@@ -27,9 +27,9 @@
 	// ownHostShare is the fraction of the target time within which a response from the target on this host is acceptable.
 	// It needs no message between daemons and no capacity of their links, and its load is known exactly.
 	ownHostShare = 0.6
-	// largeBodyShare replaces sameZoneShare for requests with large bodies, whose traffic between zones costs as much as
-	// they are worth.
-	largeBodyShare = 1.2
+	// largeTransferShare replaces sameZoneShare for requests with large bodies or responses, whose traffic between zones
+	// costs as much as they are worth.
+	largeTransferShare = 1.2
 	// unknownServiceShare is the fraction of the target time that is assumed as the service time where none is known.
 	unknownServiceShare = 0.3
 	// routeSampleWeight is the weight of one report in the averages of a route over all targets.
@@ -116,8 +116,8 @@
 	sameZone, otherZones := s.splitByZone(candidates)
 	best, bestTime := s.fastest(now, request, sameZone)
 	acceptableShare := sameZoneShare
-	if request.LargeBody {
-		acceptableShare = largeBodyShare
+	if request.LargeTransfer {
+		acceptableShare = largeTransferShare
 	}
 	if len(sameZone) > 0 &&
 		(len(otherZones) == 0 || bestTime <= time.Duration(acceptableShare*float64(request.TargetTime))) {
--- a/internal/balance/swift_test.go
+++ b/internal/balance/swift_test.go
@@ -83,7 +83,7 @@
 	})
 	assert.Equal(t, countPlacements(s, smallRequest, home, away)["away"], 300)
 	largeBody := smallRequest
-	largeBody.LargeBody = true
+	largeBody.LargeTransfer = true
 	assert.Equal(t, countPlacements(s, largeBody, home, away)["home"], 300)
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -304,6 +304,7 @@
 	for _, h := range end.GetTrailers() {
 		a.w.Header().Add(http.TrailerPrefix+h.GetName(), h.GetValue())
 	}
+	a.server.transferSizes.record(a.req.route.Name(), max(0, a.req.body.length)+a.bodySize)
 	a.server.opts.Decisions.Record(a.req.id, "answer", "side", "ingress", "target", a.target.Name(), "length", a.bodySize)
 	return nil
 }
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -316,7 +316,7 @@
 		return s.opts.Balancer.Pick(candidates)
 	}
 	return s.opts.Placer.Place(cicadacross.PlacementRequest{
-		Route: req.route.Name(), LargeBody: req.route.LargeBody(), TargetTime: s.remainingTargetTime(req),
+		Route: req.route.Name(), LargeTransfer: s.hasLargeTransfer(req), TargetTime: s.remainingTargetTime(req),
 	}, candidates)
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -90,6 +90,8 @@
 	closeAfterResponse atomic.Bool
 	callerTimeouts     longestTimeouts
 	backendSplitter    weightedSplitter
+	// transferSizes tells routes with large transfers.
+	transferSizes transferSizes
 	// acceptance determines how many owners are asked for a slot in time.
 	acceptance acceptanceRates
 }
