admission: decide by the latest service times whether a request can be on time

Mean and deviation contain the heavy tail of the service times (3 in 100 take 7 times as long, and a slow sample has 3 times the weight), so that a single one made an idle target refuse work that it answers in time nearly always.

Change: the decision uses ranks among the latest 10 service times of the route: the 8th on arrival, the 5th once a request is queued. Two outliers don't change either, the third does. The wait is still estimated from the mean.

TestAimAcceptsWhenIdleDespiteOutliers failed before (request 8 refused by an idle target).

--- a/internal/admission/aim.go
+++ b/internal/admission/aim.go
@@ -24,8 +24,6 @@
 	// aimWaitFactor is the factor on the estimated wait that decides whether a new request will be on time. It is
 	// conservative because a request that is refused on arrival can still be served by another target.
 	aimWaitFactor = 2.0
-	// serviceMarginDeviations is the safety margin of the expected service time, in mean absolute deviations.
-	serviceMarginDeviations = 1.0
 	// overrunShare is the fraction of its elapsed run time for which a request that exceeds its expected service time is
 	// assumed to continue.
 	overrunShare = 0.3
@@ -90,7 +88,7 @@
 func (a *aimPolicy) offer(now time.Time, t *ticket) *Error {
 	a.decayLateRate(now)
 	t.route = a.routeOf(now, t.request)
-	service := a.expectedService(t)
+	service := a.typicalService(t)
 	if t.missesDeadline(now, service) {
 		return newRefusal(KindDeadline, 0, "a request of route %q takes %v, which exceeds the time left",
 			t.route.name, service)
@@ -99,7 +97,7 @@
 		return newRefusal(KindQueueFull, a.retryAfter(now), "queue is full with %d requests", a.gate.queued)
 	}
 	wait := a.estimateWait(now, a.countAhead(t))
-	if !t.missesDue(now, time.Duration(aimWaitFactor*float64(wait))+service+a.serviceMargin(t)) {
+	if !t.missesDue(now, time.Duration(aimWaitFactor*float64(wait))+a.cautiousService(t)) {
 		a.onTimeQueue.push(t)
 		return nil
 	}
@@ -152,28 +150,40 @@
 	}
 }
 
-// expectedService returns the expected service time of the request; without measurements, unknownServiceShare of its
+// expectedService returns the mean service time of the request; without measurements, unknownServiceShare of its
 // rank's target time. Old measurements are discounted, so that a target that was slow is tried again.
 func (a *aimPolicy) expectedService(t *ticket) time.Duration {
-	if service := a.discountedServiceTime(t.route); service > 0 {
+	return a.discountOrDefault(t, t.route.meanService)
+}
+
+// typicalService returns a service time that the request exceeds as often as not. Like expectedService, it is
+// discounted and has a default; it decides whether a request can still be answered in time once it gets a slot.
+func (a *aimPolicy) typicalService(t *ticket) time.Duration {
+	return a.discountOrDefault(t, t.route.recent.typical())
+}
+
+// cautiousService returns a service time that the request rarely exceeds; it decides which requests are accepted.
+func (a *aimPolicy) cautiousService(t *ticket) time.Duration {
+	return a.discountOrDefault(t, t.route.recent.cautious())
+}
+
+// discountOrDefault returns the discounted service time of the request's route or, if that is 0, unknownServiceShare of
+// the rank's target time.
+func (a *aimPolicy) discountOrDefault(t *ticket, service time.Duration) time.Duration {
+	if service = a.discount(t.route, service); service > 0 {
 		return service
 	}
 	return time.Duration(unknownServiceShare * float64(t.request.Rank().TargetTime()))
 }
 
-// serviceMargin returns the safety margin on the expected service time of a request that must be on time.
-func (a *aimPolicy) serviceMargin(t *ticket) time.Duration {
-	return time.Duration(serviceMarginDeviations * float64(t.route.meanDeviation))
-}
-
-// discountedServiceTime returns the mean service time of the route, discounted by how long it has been stale unless
-// requests are in progress; 0 means unknown.
-func (a *aimPolicy) discountedServiceTime(r *routeState) time.Duration {
+// discount returns a service time of the route, discounted by how long it has been stale unless requests are in
+// progress.
+func (a *aimPolicy) discount(r *routeState, service time.Duration) time.Duration {
 	staleFor := a.updatedAt.Sub(r.lastMeasured) - staleAfter
 	if staleFor <= 0 || r.inProgress > 0 {
-		return r.meanService
+		return service
 	}
-	return time.Duration(float64(r.meanService) * math.Exp2(-float64(staleFor)/float64(staleAfter)))
+	return time.Duration(float64(service) * math.Exp2(-float64(staleFor)/float64(staleAfter)))
 }
 
 // countAhead counts the queued requests that are served before t.
@@ -245,14 +255,14 @@
 	}
 	for a.onTimeQueue.len() > 0 {
 		t := a.onTimeQueue.pop()
-		if !t.missesDue(now, a.expectedService(t)) {
+		if !t.missesDue(now, a.typicalService(t)) {
 			return t
 		}
 		a.moveLate(now, t)
 	}
 	for a.lateQueue.len() > 0 {
 		t := a.lateQueue.pop()
-		if t.missesDeadline(now, a.expectedService(t)) {
+		if t.missesDeadline(now, a.typicalService(t)) {
 			a.gate.shed(t, newRefusal(KindDeadline, 0, "no slot became free in time"))
 			continue
 		}
@@ -266,7 +276,7 @@
 func (a *aimPolicy) takeLongestWaiting(now time.Time) *ticket {
 	var first *ticket
 	for _, t := range a.onTimeQueue.tickets {
-		if (first == nil || t.arrived.Before(first.arrived)) && !t.missesDue(now, a.expectedService(t)) {
+		if (first == nil || t.arrived.Before(first.arrived)) && !t.missesDue(now, a.typicalService(t)) {
 			first = t
 		}
 	}
@@ -279,7 +289,7 @@
 // moveLate moves a request that can't be answered by its due time any more to lateQueue, or refuses it. The caller has
 // removed it from onTimeQueue.
 func (a *aimPolicy) moveLate(now time.Time, t *ticket) {
-	service := a.expectedService(t)
+	service := a.typicalService(t)
 	if t.request.OnTimeOnly() || t.missesDeadline(now, service) || !a.acceptsLate(now, t, service) {
 		a.gate.shed(t, newRefusal(KindExcess, a.retryAfter(now), "queued too long to meet the target time"))
 		return
@@ -299,7 +309,7 @@
 	if t.state != waiting || t.deadline.IsZero() {
 		return time.Time{}
 	}
-	service := a.expectedService(t)
+	service := a.typicalService(t)
 	if t.missesDeadline(now, service) {
 		a.remove(t)
 		a.gate.shed(t, newRefusal(KindDeadline, 0, "no slot became free in time"))
@@ -325,6 +335,7 @@
 	r := t.route
 	r.inProgress--
 	r.lastMeasured = now
+	r.recent.add(serviceTime)
 	if r.meanService > 0 && serviceTime > slowSampleFactor*r.meanService {
 		r.meanService += time.Duration(slowSampleWeight * float64(serviceTime-r.meanService))
 		return
@@ -353,7 +364,7 @@
 	a.decayLateRate(now)
 	wait = a.estimateWait(now, a.onTimeQueue.len())
 	if r, ok := a.routesByName[route]; ok {
-		service = a.discountedServiceTime(r)
+		service = a.discount(r, r.meanService)
 	}
 	return wait, service
 }
--- a/internal/admission/aim_test.go
+++ b/internal/admission/aim_test.go
@@ -140,6 +140,26 @@
 	assert.Assert(t, g.offer(onTimeOnly).slot != nil)
 }
 
+// Guards against an idle target that refuses requests since two of the last ten took much longer than usual: with a
+// heavy tail of service times, the next one is still answered on time almost always.
+func TestAimAcceptsWhenIdleDespiteOutliers(t *testing.T) {
+	g := newAimGate(4)
+	onTimeOnly := lookup
+	onTimeOnly.onTimeOnly = true
+	onTimeOnly.target = 400 * time.Millisecond
+	g.trainServiceTime(onTimeOnly, 110*time.Millisecond)
+	for i := range 40 {
+		service := time.Duration(110+30*(i%3)) * time.Millisecond
+		if i%10 == 5 || i%10 == 7 {
+			service = 800 * time.Millisecond
+		}
+		d := g.offer(onTimeOnly)
+		assert.Assert(t, d.slot != nil, "request %d: %v", i, d.err)
+		g.clock.Advance(service)
+		d.slot.Release()
+	}
+}
+
 // Guards against a target that becomes slow and is detected as slow only after many late responses.
 func TestAimDetectsSlowTarget(t *testing.T) {
 	g := newAimGate(4)
--- a/internal/admission/route.go
+++ b/internal/admission/route.go
@@ -52,6 +52,8 @@
 	// means unknown.
 	meanService   time.Duration
 	meanDeviation time.Duration
+	// recent holds the latest service times; only the policy "aim" uses it.
+	recent recentServices
 
 	// offeredTime is the expected slot time of the requests that arrived since the last update of the rates.
 	offeredTime time.Duration
