--- a/internal/admission/recent.go
+++ b/internal/admission/recent.go
@@ -15,7 +15,7 @@
 	cautiousRank = 8
 )
 
-// recentServices holds the latest service times of one route. Service times have a heavy tail, and a mean or a deviation
+// recentServices holds the latest service times of one route. Service times have a heavy tail, and a mean or deviation
 // that contains one sample of it makes an idle target refuse requests that it would almost always answer on time. The
 // zero value is empty.
 type recentServices struct {
