admission: don't measure the time until a rejection or failure as a service time

Cause: a slot was always returned as if its request had been answered. A target that rejects requests at once looked like a fast one, to its own gate and, through the load reports, to all other daemons.

Change: Slot.Abandon returns the slot of a request that was not answered; the time counts only above the average, as a lower bound. The reservation of a large body on the link is now cancelled too when the quarantine refuses the request or it is refused right before the call.

TestAbandonedRequestsAreNotMeasured guards it.

--- a/admission.go
+++ b/admission.go
@@ -107,8 +107,12 @@
 
 // Slot is the permission to run one request on the target.
 type Slot interface {
-	// Release returns the slot. Calls after the first have no effect.
+	// Release returns the slot after the target answered the request, which measures the service time. Only the first
+	// call of Release or Abandon has an effect.
 	Release()
+	// Abandon returns the slot of a request that the target did not answer: it rejected it, failed it, or never received
+	// it. The time until then says nothing about the service time, unless it exceeds the average.
+	Abandon()
 }
 
 // AdmissionOptions configures an admission policy.
--- a/internal/admission/aim.go
+++ b/internal/admission/aim.go
@@ -334,6 +334,9 @@
 	serviceTime := now.Sub(t.started)
 	r := t.route
 	r.inProgress--
+	if !t.measures(serviceTime) {
+		return
+	}
 	r.lastMeasured = now
 	r.recent.add(serviceTime)
 	if r.meanService > 0 && serviceTime > slowSampleFactor*r.meanService {
--- a/internal/admission/aim_test.go
+++ b/internal/admission/aim_test.go
@@ -160,6 +160,25 @@
 	}
 }
 
+// Guards against a target that looks fast since it rejects requests at once: it would attract the requests of the whole
+// fleet and queue what it can't serve.
+func TestAbandonedRequestsAreNotMeasured(t *testing.T) {
+	g := newAimGate(4)
+	g.trainServiceTime(lookup, 300*time.Millisecond)
+	for range 50 {
+		d := g.offer(lookup)
+		g.clock.Advance(time.Millisecond)
+		d.slot.Abandon()
+	}
+	assert.Equal(t, g.Estimate("lookup").ServiceTime, 300*time.Millisecond)
+	for range 20 {
+		d := g.offer(lookup)
+		g.clock.Advance(900 * time.Millisecond)
+		d.slot.Abandon()
+	}
+	assert.Assert(t, g.Estimate("lookup").ServiceTime > 600*time.Millisecond)
+}
+
 // Guards against a target that becomes slow and is detected as slow only after many late responses.
 func TestAimDetectsSlowTarget(t *testing.T) {
 	g := newAimGate(4)
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -237,7 +237,7 @@
 func (w *Waiter) cancelWait(ctx context.Context, decided <-chan decision) decision {
 	if !w.Withdraw() {
 		if d := <-decided; d.slot != nil {
-			d.slot.Release()
+			d.slot.Abandon()
 		}
 	}
 	return decision{err: newCanceled(context.Cause(ctx))}
@@ -248,8 +248,13 @@
 	ticket *ticket
 }
 
-// Release returns the slot. Only the first call has an effect.
-func (s *slot) Release() {
+// Release returns the slot of a request that was answered.
+func (s *slot) Release() { s.end(false) }
+
+// Abandon returns the slot of a request that was not answered.
+func (s *slot) Abandon() { s.end(true) }
+
+func (s *slot) end(abandoned bool) {
 	g := s.gate
 	g.mu.Lock()
 	defer g.unlock()
@@ -257,7 +262,7 @@
 		return
 	}
 	now := g.timers.Now()
-	s.ticket.state = ended
+	s.ticket.state, s.ticket.abandoned = ended, abandoned
 	for i, t := range g.running {
 		if t == s.ticket {
 			g.running = append(g.running[:i], g.running[i+1:]...)
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -224,7 +224,7 @@
 	r.inProgress--
 	serviceTime := now.Sub(t.started)
 	s.chargeSlotTime(t, serviceTime-t.chargedTime)
-	if !t.preempted {
+	if t.measures(serviceTime) {
 		r.recordService(serviceTime)
 	}
 }
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -40,6 +40,14 @@
 	late bool
 	// preempted reports whether a request in progress was told to end.
 	preempted bool
+	// abandoned reports that the target did not answer the request.
+	abandoned bool
+}
+
+// measures reports whether the time for which the request held its slot is a sample of the service time. An abandoned
+// request is one only if it took longer than the average: then its service time is at least that.
+func (t *ticket) measures(service time.Duration) bool {
+	return !t.preempted && (!t.abandoned || service > t.route.meanService)
 }
 
 func newTicket(request cicadacross.SlotRequest, now time.Time, decided func(cicadacross.Slot, error)) *ticket {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -55,6 +55,8 @@
 	once      sync.Once
 }
 
+func (s *fifoSlot) Abandon() { s.Release() }
+
 func (s *fifoSlot) Release() { s.once.Do(func() { s.admission.free <- struct{}{} }) }
 
 // memoryKeyStore is an idempotency store in memory.
--- a/internal/relay/execution.go
+++ b/internal/relay/execution.go
@@ -21,12 +21,13 @@
 
 // execution is one request at its owner.
 type execution struct {
-	owner      *Owner
-	session    session
-	head       *peerpb.ForwardHead
-	deadline   time.Time
-	key        cicadacross.KeyExecution // nil for repeatable requests, without KeyStore, and until the key is claimed
-	release    func()                   // releases the slot and leaves the quarantine; nil before both are acquired
+	owner    *Owner
+	session  session
+	head     *peerpb.ForwardHead
+	deadline time.Time
+	key      cicadacross.KeyExecution // nil for repeatable requests, without KeyStore, and until the key is claimed
+	// release returns the slot and leaves the quarantine; nil before both are acquired. Only its first call has an effect.
+	release    func(answered bool)
 	preempted  atomic.Bool
 	senderGone bool // the ingress daemon is disconnected; nothing more is sent to it
 	// confirmation receives the sender's confirmation; nil when none was requested.
@@ -59,7 +60,7 @@
 	if admitted, err := e.admit(ctx, cancel); !admitted {
 		return err
 	}
-	defer e.release()
+	defer e.release(false)
 	return e.execute(ctx)
 }
 
@@ -192,20 +193,28 @@
 	}
 	if e.head.GetConfirm() {
 		if err := e.awaitConfirm(); err != nil {
-			slot.Release()
+			slot.Abandon()
 			e.cancelReservation()
 			return false, e.releaseAndRefuse(refusal(RefusalCanceled, err.Error()), nil)
 		}
 	}
 	leave, err := o.opts.Quarantine.Enter(ctx, fingerprint)
 	if err != nil {
-		slot.Release()
+		slot.Abandon()
+		e.cancelReservation()
 		return false, e.refuseWithError(StageQuarantine, err)
 	}
-	e.release = sync.OnceFunc(func() {
-		slot.Release()
-		leave()
-	})
+	var once sync.Once
+	e.release = func(answered bool) {
+		once.Do(func() {
+			if answered {
+				slot.Release()
+			} else {
+				slot.Abandon()
+			}
+			leave()
+		})
+	}
 	return true, nil
 }
 
@@ -229,7 +238,7 @@
 		e.key.NotRun()
 	}
 	if e.release != nil {
-		e.release()
+		e.release(false)
 	}
 	if refused == nil {
 		return err
@@ -276,10 +285,12 @@
 func (e *execution) execute(ctx context.Context) error {
 	conn, err := e.owner.opts.Upstream.Connect(ctx)
 	if err != nil {
+		e.cancelReservation()
 		return e.releaseAndRefuse(refusal(RefusalUpstream, err.Error()), nil)
 	}
 	if refused := e.checkBeforeCall(ctx); refused != nil {
 		conn.Release()
+		e.cancelReservation()
 		return e.releaseAndRefuse(refused, nil)
 	}
 	if !e.head.GetComplete() {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -137,7 +137,7 @@
 	if e.key != nil {
 		e.key.Done(t.storedResponse())
 	}
-	e.release()
+	e.release(true)
 	end := &peerpb.ReplyEnd{Length: uint64(t.bytesRead), Load: e.owner.load(e.head.GetKind())} // #nosec G115
 	end.Trailers = EncodeHeader(t.response.Trailer)
 	e.recordDecision("answer", "status", t.response.Status, "length", t.bytesRead)
@@ -180,7 +180,7 @@
 	if e.key != nil {
 		e.key.Unknown()
 	}
-	e.release()
+	e.release(false)
 	return e.fail(e.failureKind(err), err.Error())
 }
 
