ingress: refuse at once what the process lacks the CPU time to forward

Nothing limits what a daemon accepts by its CPU share; with all of it in use, each request waits for the CPU at every step and is finished after its caller has left.

Change: timer.LagMeter measures the time in the run queue of the Go scheduler. Above 8 ms, overloadGuard refuses a growing share of the new requests, the least urgent first, at once and with a time to return.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,6 +75,7 @@
 	owner           *relay.Owner
 	relayClient     *relay.Client
 	pauseDetector   *relay.PauseDetector
+	lagMeter        *timer.LagMeter
 	ingress         *ingress.Server
 	operatorServer  *operatorServer
 	serving         sync.WaitGroup
@@ -199,7 +200,7 @@
 	d.admission = newAdmission(cicadacross.AdmissionOptions{
 		Slots: initialSlots, MaxQueue: d.settings.MaxQueue, Timers: d.timers,
 	})
-	d.pauseDetector = relay.NewPauseDetector(d.timers)
+	d.pauseDetector, d.lagMeter = relay.NewPauseDetector(d.timers), timer.NewLagMeter(d.timers)
 	d.owner = relay.NewOwner(relay.OwnerOptions{
 		Host: d.settings.Host, Configuration: d.fleet.Configuration, IsLeaving: d.fleet.IsLeaving,
 		Settled: d.fleet.Settled, KeyOwner: idempotency.Owner, Admission: d.admission, KeyStore: d.keyStore,
@@ -366,6 +367,7 @@
 // startComponents starts the components that have no listener.
 func (d *Daemon) startComponents() {
 	d.pauseDetector.Start()
+	d.lagMeter.Start()
 	d.upstream.Start()
 	d.relayClient.Start()
 	if d.keyStore != nil {
@@ -465,6 +467,7 @@
 	d.relayClient.Stop()
 	d.upstream.Close()
 	d.pauseDetector.Stop()
+	d.lagMeter.Stop()
 	d.pool.Close()
 	d.serving.Wait()
 }
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -22,6 +22,7 @@
 	"cicadacross/internal/quarantine"
 	"cicadacross/internal/relay"
 	"cicadacross/internal/roster"
+	"cicadacross/internal/timer"
 	"cicadacross/internal/upstream"
 )
 
@@ -140,7 +141,7 @@
 	d.admission = newAdmission(cicadacross.AdmissionOptions{
 		Slots: initialSlots, MaxQueue: d.settings.MaxQueue, Timers: d.timers,
 	})
-	d.pauseDetector = relay.NewPauseDetector(d.timers)
+	d.pauseDetector, d.lagMeter = relay.NewPauseDetector(d.timers), timer.NewLagMeter(d.timers)
 	d.owner = relay.NewOwner(relay.OwnerOptions{
 		Host: d.settings.Host, Configuration: d.controlPlane.Configuration, IsLeaving: d.controlPlane.IsLeaving,
 		Admission: d.admission, Quarantine: d.quarantine, Upstream: d.upstream, Timers: d.timers, Decisions: recorder,
@@ -158,7 +159,7 @@
 		Host: d.settings.Host, Configuration: d.controlPlane.Configuration, IsLeaving: d.controlPlane.IsLeaving,
 		Quarantine: d.quarantine, Client: d.relayClient, Balancer: balancer, Placer: placer,
 		Decisions: recorder, Timers: d.timers, PauseDetector: d.pauseDetector, Logger: d.log.WithName("ingress"),
-		Dialect: dialect, Service: d.settings.Service,
+		Dialect: dialect, Service: d.settings.Service, Lag: d.lagMeter.Lag,
 		AcceptedConnections: metrics.GetOrRegisterCounter("callers.connections", d.metrics),
 		Latency:             metrics.GetOrRegisterTimer("requests.latency_ns", d.metrics),
 		RetryBudget: ingress.NewFleetRetryBudget(ingress.FleetRetryBudgetOptions{
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -60,7 +60,7 @@
 	if refusal := req.setService(s.backendSplitter.nextService(route)); refusal != nil {
 		return req, refusal
 	}
-	return req, nil
+	return req, s.checkOverload(req)
 }
 
 // checkLimits refuses requests that exceed the limits of the configuration.
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,5 +1,7 @@
 package ingress
 
+import "time"
+
 // AcceptanceRates exports acceptanceRates for tests.
 type AcceptanceRates struct{ rates acceptanceRates }
 
@@ -10,3 +12,20 @@
 func (a *AcceptanceRates) OnTimeRefusalLimit(route string) int {
 	return a.rates.onTimeRefusalLimit(route)
 }
+
+// OverloadGuard exposes overloadGuard.
+type OverloadGuard struct{ guard overloadGuard }
+
+// Admits calls overloadGuard.admits.
+func (g *OverloadGuard) Admits(now time.Time, lag time.Duration, urgency int) bool {
+	return g.guard.admits(now, lag, urgency)
+}
+
+// TransferSizes exposes transferSizes.
+type TransferSizes struct{ sizes transferSizes }
+
+// Record calls transferSizes.record.
+func (t *TransferSizes) Record(route string, size int64) { t.sizes.record(route, size) }
+
+// IsLarge calls transferSizes.isLarge.
+func (t *TransferSizes) IsLarge(route string) bool { return t.sizes.isLarge(route) }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -74,6 +74,8 @@
 	AcceptedConnections metrics.Counter
 	// Latency measures the time from the header of each request to the end of its response; it may be nil.
 	Latency metrics.Timer
+	// Lag returns by how much the process lags behind for lack of CPU time; nil means never.
+	Lag func() time.Duration
 	// Logger logs events of the server. The zero value discards them.
 	Logger logr.Logger
 }
@@ -90,6 +92,8 @@
 	closeAfterResponse atomic.Bool
 	callerTimeouts     longestTimeouts
 	backendSplitter    weightedSplitter
+	// overload refuses requests that the process lacks the CPU time to forward.
+	overload overloadGuard
 	// transferSizes tells routes with large transfers.
 	transferSizes transferSizes
 	// acceptance determines how many owners are asked for a slot in time.
