--- a/internal/ingress/overload.go
+++ b/internal/ingress/overload.go
@@ -28,9 +28,9 @@
 	overloadRetryAfter = 400 * time.Millisecond
 )
 
-// overloadGuard refuses new requests while the process lacks CPU time, the least urgent first. It answers a load of more
-// requests per second than the CPU share of the host can forward: every request would be accepted, would wait for the
-// CPU at each step, and would be finished after its caller has left. It is safe for concurrent use.
+// overloadGuard refuses new requests while the process lacks CPU time, the least urgent first. It answers a load above
+// what the CPU share of the host can forward: otherwise every request is accepted, waits for the CPU at each step, and
+// is finished after its caller has left. It is safe for concurrent use.
 type overloadGuard struct {
 	mu sync.Mutex
 	// refusedShare is the share of all requests to refuse, 0 to 1.
