ingress: a request whose time ends while its body arrives is not run, not bad

Cause: readBody answered every failed read of a body with 400, also the one that its own read deadline had ended. The caller of a keyed request was told that its body was bad, and that it must not be sent again, although nothing had run.

Change: such a request gets 503 with the outcome not-run and the reason deadline. TestTimeThatEndsDuringTheBodyIsNotRun failed before (400).

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -96,6 +97,9 @@
 			status: http.StatusRequestTimeout, reason: "body", outcome: cicadacross.OutcomeNotRun, text: err.Error(),
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return unavailable(relay.RefusalDeadline, "the time of the request ended while its body was read")
+	}
 	if err != nil {
 		return badRequest("body", err.Error())
 	}
--- a/internal/ingress/outcome_test.go
+++ b/internal/ingress/outcome_test.go
@@ -19,6 +19,33 @@
 	"cicadacross/internal/timer"
 )
 
+// Guards against a caller that is told that its request is bad, and that it must not be sent again, when the time ended
+// while its body arrived.
+func TestTimeThatEndsDuringTheBodyIsNotRun(t *testing.T) {
+	f := newFleet(t, fleetOptions{hosts: 1})
+	for _, headers := range [][]string{nil, {"Idempotency-Key: k"}} {
+		got := f.call(0, "POST", "/pages/slow-body", &stalledBody{start: "abc"}, append(headers, "X-Mesh-Timeout: 150")...)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+		assert.Equal(t, got.outcome(), "not-run")
+		assert.Assert(t, strings.Contains(got.body, "time"), got.body)
+	}
+	assert.Equal(t, f.nodes[0].standin.Executions().ByPath["/pages/slow-body"], 0)
+}
+
+// stalledBody is a body whose end doesn't arrive for a second.
+type stalledBody struct{ start string }
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if b.start != "" {
+		n := copy(p, b.start)
+		b.start = b.start[n:]
+		return n, nil
+	}
+	time.Sleep(time.Second)
+	return 0, io.ErrUnexpectedEOF
+}
+
 // Guards against a truncated response that ends as a success, for responses with and without a length.
 func TestTruncatedAnswerIsAborted(t *testing.T) {
 	for _, size := range []int{1 << 10, 200 << 10} {
