ingress: the overload guard refuses the calls of upstreams last

Cause: the guard refused the calls that running requests make like new requests of callers, and the running requests failed with them, after they had used their slot.

Change: owners report with their load whether upstreams call the route of a request (only they see from which hosts its requests come); the ingress keeps the moving share of these reports, and the guard gives such a request an urgency above all ranks. TestMostOwnersTellUpstreamCalls guards against a restarted owner that doesn't know yet.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -126,6 +126,7 @@
 	if load == nil {
 		return
 	}
+	a.server.upstreamCalls.record(a.req.route.Name(), load.GetUpstreamCall())
 	l := relay.DecodeLoad(load)
 	if placer := a.server.opts.Placer; placer != nil {
 		placer.ObserveReply(a.target.Host(), a.req.route.Name(), l)
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -29,3 +29,12 @@
 
 // IsLarge calls transferSizes.isLarge.
 func (t *TransferSizes) IsLarge(route string) bool { return t.sizes.isLarge(route) }
+
+// UpstreamCalls exposes upstreamCalls.
+type UpstreamCalls struct{ calls upstreamCalls }
+
+// Record calls upstreamCalls.record.
+func (c *UpstreamCalls) Record(route string, called bool) { c.calls.record(route, called) }
+
+// Contains calls upstreamCalls.contains.
+func (c *UpstreamCalls) Contains(route string) bool { return c.calls.contains(route) }
--- a/internal/ingress/overload.go
+++ b/internal/ingress/overload.go
@@ -116,9 +116,20 @@
 	return g.refusedShare
 }
 
+// callUrgency is more urgent than any rank. The calls of upstreams have it: the requests that make them have already
+// used a slot, and fail with the call.
+const callUrgency = 0
+
 // checkOverload returns the refusal of a request that the process lacks the CPU time to forward, or nil.
 func (s *Server) checkOverload(req *request) *refusalResponse {
-	if s.opts.Lag == nil || s.overload.admits(req.arrived, s.opts.Lag(), req.rank.Urgency()) {
+	if s.opts.Lag == nil {
+		return nil
+	}
+	urgency := req.rank.Urgency()
+	if s.upstreamCalls.contains(req.route.Name()) {
+		urgency = callUrgency
+	}
+	if s.overload.admits(req.arrived, s.opts.Lag(), urgency) {
 		return nil
 	}
 	refusal := unavailable(relay.RefusalShed, "the daemon lacks CPU time")
--- a/internal/ingress/overload_test.go
+++ b/internal/ingress/overload_test.go
@@ -116,3 +116,20 @@
 	assert.Assert(t, sizes.IsLarge("sheet"))
 	assert.Assert(t, !sizes.IsLarge("lookup"))
 }
+
+// Guards against the calls of running requests that are refused like new requests, since one owner has just started and
+// doesn't know them, and against a route of callers that is exempt from refusals.
+func TestMostOwnersTellUpstreamCalls(t *testing.T) {
+	var calls ingress.UpstreamCalls
+	assert.Assert(t, !calls.Contains("profile"))
+	for i := range 100 {
+		calls.Record("profile", i%5 != 0)
+		calls.Record("lookup", i%5 == 0)
+	}
+	assert.Assert(t, calls.Contains("profile"))
+	assert.Assert(t, !calls.Contains("lookup"))
+	for range 20 {
+		calls.Record("profile", false)
+	}
+	assert.Assert(t, !calls.Contains("profile"))
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -94,6 +94,8 @@
 	backendSplitter    weightedSplitter
 	// overload refuses requests that the process lacks the CPU time to forward.
 	overload overloadGuard
+	// upstreamCalls tells routes that upstreams call.
+	upstreamCalls upstreamCalls
 	// transferSizes tells routes with large transfers.
 	transferSizes transferSizes
 	// acceptance determines how many owners are asked for a slot in time.
--- a/internal/relay/calldetector.go
+++ b/internal/relay/calldetector.go
@@ -47,5 +47,18 @@
 	r.count++
 	r.multipleServices = r.multipleServices || service != r.service
 	d.multipleServices = d.multipleServices || r.multipleServices
+	return d.isUpstreamCall(r)
+}
+
+// IsUpstreamCall reports whether upstreams call the route, by the requests observed so far.
+func (d *UpstreamCallDetector) IsUpstreamCall(route string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.routes[route]
+	return ok && d.isUpstreamCall(r)
+}
+
+// isUpstreamCall is IsUpstreamCall for the state of a route. The caller must hold d.mu.
+func (d *UpstreamCallDetector) isUpstreamCall(r *routeOrigin) bool {
 	return d.multipleServices && !r.multipleServices && r.count >= minRouteRequests
 }
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -180,6 +180,8 @@
 		Slots:      uint32(l.Slots),      // #nosec G115
 		Draining:   l.Draining || o.RefusesNewRequests(),
 
+		UpstreamCall: o.callDetector.IsUpstreamCall(route),
+
 		WaitMs: uint32(min(max(l.QueueWait, 0), maxReportedTime).Milliseconds()),   // #nosec G115 -- bounded
 		WorkMs: uint32(min(max(l.ServiceTime, 0), maxReportedTime).Milliseconds()), // #nosec G115 -- bounded
 	}
