roster: a canceled subscription no longer removes its replacement

Cause, by reading: a subscription that reconcile canceled deleted the entry of its host when it ended, also when another one to the same host had been started meanwhile. That one was then unknown: a third was started beside it, and nothing canceled it. Change: it deletes the entry only if it is its own. Not reproduced by a test.

--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -32,16 +32,16 @@
 // followManager runs one goroutine for each followed daemon.
 type followManager struct {
 	roster *Roster
-	// mu protects streams, which holds the function that cancels the stream from each followed host.
+	// mu protects streams, which holds the subscription to each followed host.
 	mu      sync.Mutex
-	streams map[string]context.CancelFunc
+	streams map[string]*subscription
 	// fallbackHost is the random host that is followed since fallbackSince; "" means none.
 	fallbackHost  string
 	fallbackSince time.Time
 }
 
 func (d *Roster) startFollowing(ctx context.Context) {
-	f := &followManager{roster: d, streams: make(map[string]context.CancelFunc)}
+	f := &followManager{roster: d, streams: make(map[string]*subscription)}
 	d.goroutines.Add(1)
 	go f.run(ctx)
 }
@@ -74,9 +74,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for host, cancel := range f.streams {
+	for host, s := range f.streams {
 		if !wanted[host] {
-			cancel()
+			s.cancel()
 			delete(f.streams, host)
 		}
 	}
@@ -85,10 +85,10 @@
 			continue
 		}
 		streamCtx, cancel := context.WithCancel(ctx)
-		f.streams[host] = cancel
-		s := &subscription{manager: f, host: host}
+		s := &subscription{manager: f, host: host, cancel: cancel}
+		f.streams[host] = s
 		f.roster.goroutines.Add(1)
-		go s.run(streamCtx, cancel)
+		go s.run(streamCtx)
 	}
 }
 
@@ -110,30 +110,31 @@
 type subscription struct {
 	manager *followManager
 	host    string
+	cancel  context.CancelFunc
 	// lastRouting is the last routing record that the followed daemon has sent, or the one that both held when the stream
 	// began. The next one may be compressed against it.
 	lastRouting cicadacross.Record
 }
 
 // run follows the daemon until its stream ends; reconcile then starts another one if it is still needed.
-func (s *subscription) run(ctx context.Context, cancel context.CancelFunc) {
+func (s *subscription) run(ctx context.Context) {
 	d := s.manager.roster
 	defer d.goroutines.Done()
-	defer cancel()
-	err := s.follow(ctx, cancel)
+	defer s.cancel()
+	err := s.follow(ctx)
 	if ctx.Err() == nil {
 		d.opts.Logger.V(1).Info("stream from a followed daemon ended", "peer", s.host, "reason", err.Error())
 	}
 	s.manager.mu.Lock()
 	defer s.manager.mu.Unlock()
-	// The watchdog cancels ctx but, unlike reconcile, leaves the stream in the map.
-	if ctx.Err() == nil || s.manager.streams[s.host] != nil {
+	// A subscription that reconcile has canceled may have been replaced by another one to the host.
+	if s.manager.streams[s.host] == s {
 		delete(s.manager.streams, s.host)
 	}
 }
 
 // follow receives frames until the stream ends and returns the error that ended it.
-func (s *subscription) follow(ctx context.Context, cancel context.CancelFunc) error {
+func (s *subscription) follow(ctx context.Context) error {
 	d := s.manager.roster
 	conn, err := d.opts.Pool.Conn(d.peerAddress(s.host))
 	if err != nil {
@@ -151,7 +152,7 @@
 	if err != nil {
 		return wrapError("follow", KindPeer, err, "host %s", s.host)
 	}
-	watchdog := &idleWatchdog{timers: d.opts.Timers, cancel: cancel, frames: make(chan struct{}, 1)}
+	watchdog := &idleWatchdog{timers: d.opts.Timers, cancel: s.cancel, frames: make(chan struct{}, 1)}
 	d.goroutines.Add(1)
 	go watchdog.run(ctx, d)
 	for {
