integration: the soak plays upstreams that answer twice, break off and send without end

A fifth of the soak's requests now meet an upstream whose answer comes twice, is broken off, has no length, ends the connection, is a rejection with a late copy, or has no end.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -26,7 +26,7 @@
 
 // The soak test runs the real daemons as separate processes and injects random faults from outside: links that are
 // disconnected, drop all data or are slow; daemons that are stopped, paused, or killed and restarted; upstreams that
-// crash and register again; and a faulty store. The seed determines the faults, but the timing of the processes
+// crash and register again, and whose answers come twice, broken off or without end; and a faulty store. The seed determines the faults, but the timing of the processes
 // differs from run to run.
 //
 //	go test ./integration -run TestSoak -soak.seeds=50 -soak.first=100
@@ -329,17 +329,26 @@
 	s.t.Errorf("newest route not served everywhere within %v: %s faults: %v", limit, missing, s.faults)
 }
 
+// upstreamTroubles are the paths for which an upstream answers late and twice, rejects the first send and repeats the
+// rejection, breaks off its answer, answers without a length, closes the connection, or sends bytes without end.
+var upstreamTroubles = []string{
+	"/extra", "/rejectonce", "/rejectonce/run=100ms", "/cut", "/unframed", "/reset", "/reject", "/garbage", "/endless",
+}
+
 // sendRequests sends requests until ctx is done, mostly on one connection.
 func (h *soakHost) sendRequests(ctx context.Context, caller int) {
 	random := rand.New(rand.NewPCG(h.soak.seed, uint64(100*h.n+caller))) // #nosec G115
 	for i := 0; ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("%d-%d-%d", h.n, caller, i)
 		var r soakResult
-		switch random.IntN(4) {
-		case 0:
+		switch n := random.IntN(100); {
+		case n < 20:
 			r = h.send("/look/run=20ms", id, nil, true)
-		case 1:
+		case n < 40:
 			r = h.send("/load/x", id, bytes.Repeat([]byte("x"), 1+random.IntN(200_000)), false)
+		case n < 60:
+			trouble := upstreamTroubles[random.IntN(len(upstreamTroubles))]
+			r = h.send("/pay"+trouble, id, []byte("1"), false)
 		default:
 			r = h.send("/pay/run=50ms", id, []byte("1"), false)
 		}
