--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -359,6 +359,11 @@
 	}
 }
 
+// maxSoakResponse is the size of a response above which a caller leaves, in bytes; only endless ones have more.
+const maxSoakResponse = 256 << 10
+
+var errEndless = errors.New("the response has no end")
+
 // soakClient reuses connections until the daemon closes them.
 var soakClient = &http.Client{
 	Transport: &http.Transport{MaxIdleConnsPerHost: soakCallers}, Timeout: soakTimeout + 2*time.Second,
@@ -381,8 +386,11 @@
 	response, err := soakClient.Do(r)
 	if err == nil {
 		var data []byte
-		data, err = io.ReadAll(response.Body)
+		data, err = io.ReadAll(io.LimitReader(response.Body, maxSoakResponse+1))
 		_ = response.Body.Close()
+		if err == nil && len(data) > maxSoakResponse {
+			err = errEndless
+		}
 		result.status, result.body = response.StatusCode, string(data)
 		if err == nil && result.status == http.StatusOK && result.body != fmt.Sprintf("%s %d", path, len(body)) {
 			h.soak.t.Errorf("%s: response %q to %s with %d bytes", id, result.body, path, len(body))
