--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -26,8 +26,8 @@
 
 // The soak test runs the real daemons as separate processes and injects random faults from outside: links that are
 // disconnected, drop all data or are slow; daemons that are stopped, paused, or killed and restarted; upstreams that
-// crash and register again, and whose answers come twice, broken off or without end; and a faulty store. The seed determines the faults, but the timing of the processes
-// differs from run to run.
+// crash and register again, and whose answers come twice, broken off or without end; and a faulty store. The seed
+// determines the faults, but the timing of the processes differs from run to run.
 //
 //	go test ./integration -run TestSoak -soak.seeds=50 -soak.first=100
 var (
