--- a/internal/ingress/outcome_test.go
+++ b/internal/ingress/outcome_test.go
@@ -19,8 +19,8 @@
 	"cicadacross/internal/timer"
 )
 
-// Guards against a caller that is told that its request is bad, and that it must not be sent again, when the time ended
-// while its body arrived.
+// Guards against status 400, after which callers don't retry, for a request whose deadline passed while its body was
+// read.
 func TestTimeThatEndsDuringTheBodyIsNotRun(t *testing.T) {
 	f := newFleet(t, fleetOptions{hosts: 1})
 	for _, headers := range [][]string{nil, {"Idempotency-Key: k"}} {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -94,9 +94,9 @@
 	backendSplitter    weightedSplitter
 	// overload refuses requests that the process lacks the CPU time to forward.
 	overload overloadGuard
-	// upstreamCalls tells routes that upstreams call.
+	// upstreamCalls classifies routes as called by upstreams or by callers.
 	upstreamCalls upstreamCalls
-	// transferSizes tells routes with large transfers.
+	// transferSizes holds the mean size of the transfers of each route.
 	transferSizes transferSizes
 	// acceptance determines how many owners are asked for a slot in time.
 	acceptance acceptanceRates
--- a/internal/ingress/upstreamcalls.go
+++ b/internal/ingress/upstreamcalls.go
@@ -5,9 +5,9 @@
 // callReportWeight is the weight of one report in the moving share of reports that name a route as called by upstreams.
 const callReportWeight = 0.1
 
-// upstreamCalls tells the routes that upstreams call by what owners report: only an owner sees from which hosts the
-// requests of a route come. An owner that has just started reports that it doesn't know of calls, so that most of the
-// recent reports decide. It is safe for concurrent use.
+// upstreamCalls classifies routes as called by upstreams or by callers, based on the reports of owners, since only an
+// owner receives the requests of a route from all hosts. An owner that has just started can't classify a route yet, so
+// that the majority of the recent reports decides. It is safe for concurrent use.
 type upstreamCalls struct {
 	mu sync.Mutex
 	// shares holds, for each route, the moving share of reports that name it as called.
--- a/internal/roster/election.go
+++ b/internal/roster/election.go
@@ -19,9 +19,9 @@
 	// itself. Together with a ping interval of 500 ms and one watch, it stays within 2 s, the time limit for all daemons
 	// to learn of a leaving target.
 	confirmationTimeout = 1200 * time.Millisecond
-	// firstWordTimeout replaces confirmationTimeout when this daemon learns of others that are elected before it. It
-	// covers the start of a stream from them.
-	firstWordTimeout = 600 * time.Millisecond
+	// initialReaderTimeout replaces confirmationTimeout after this daemon discovered others at earlier positions of the
+	// election order. It covers the start of a stream from them.
+	initialReaderTimeout = 600 * time.Millisecond
 	// takeoverStep is the additional timeout per position, so that the daemons of an availability zone don't take over
 	// at the same time.
 	takeoverStep = 250 * time.Millisecond
@@ -72,8 +72,8 @@
 	})
 	position := slices.Index(e.zoneHosts, e.roster.opts.Host)
 	if e.position == 0 && position > 0 {
-		// The daemons before this one are presumed to read until firstWordTimeout has passed without a word from them.
-		e.readerConfirmedAt = e.roster.opts.Timers.Now().Add(firstWordTimeout - confirmationTimeout)
+		// The daemons before this one are assumed to read until initialReaderTimeout has passed without a confirmation.
+		e.readerConfirmedAt = e.roster.opts.Timers.Now().Add(initialReaderTimeout - confirmationTimeout)
 	}
 	e.position = position
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -261,7 +261,7 @@
 	for _, n := range nodes {
 		poll.WaitOn(t, n.hasVersion(3, daemons), pollFor(applyLimit))
 	}
-	// Each daemon lists the records and watches until it hears of another one; only the first one goes on to read.
+	// Each daemon lists the records and watches until it discovers another one; only the elected reader continues.
 	assert.Assert(t, store.FreshCalls() <= 3*daemons, "%d calls of %d daemons", store.FreshCalls(), daemons)
 }
 
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -49,7 +49,7 @@
 const recentIDCount = 8
 
 // carried reports whether one of the latest calls on the connection had the ID. A late copy of its response could not
-// be told from the response to another call with the ID.
+// be distinguished from the response to another call with the ID.
 func (c *Connection) carried(id string) bool { return id != "" && slices.Contains(c.recentIDs[:], id) }
 
 func (c *Connection) recordID(id string) {
--- a/internal/upstream/trouble_test.go
+++ b/internal/upstream/trouble_test.go
@@ -74,8 +74,8 @@
 		len(body), body)
 }
 
-// Guards against a late copy of a rejection that is taken as the rejection of the next send of the same request: the
-// caller would be told that a request did not run that is running.
+// Guards against a late copy of a rejection that is mistaken for the response to the next send of the same request: a
+// running request would be reported as not run.
 func TestLateCopyOfARejectionIsNotTakenAsAnAnswer(t *testing.T) {
 	var requests, connections atomic.Int32
 	u := newRawUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
@@ -111,7 +111,7 @@
 }
 
 // Guards against a late copy of an answer that the next caller gets, in the own interface: an upstream that echoes the
-// request ID tells whose answer it is.
+// request ID identifies the call that the response belongs to.
 func TestLateCopyIsSkippedWithoutDialect(t *testing.T) {
 	u := newRawUpstreamWithDialect(t, nil, func(conn net.Conn, reader *bufio.Reader) {
 		previous := ""
