--- a/review/standins/case_quar.go
+++ b/review/standins/case_quar.go
@@ -1,13 +1,24 @@
 package main
 
 import (
+	"os"
+	"strconv"
 	"strings"
 	"time"
 )
 
 func init() { cases["quar"] = caseQuar }
 
-// caseQuar crashes two targets at the same moment while all callers read the same page.
+// crashGap is the time between the ends of the two targets: 50 ms, or CRASH_GAP_MS.
+func crashGap() time.Duration {
+	ms, err := strconv.Atoi(os.Getenv("CRASH_GAP_MS"))
+	if err != nil {
+		ms = 50
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// caseQuar crashes two targets shortly one after the other while all callers read the same page.
 func caseQuar(rec *record, trouble bool) (bool, error) {
 	var specs []machineSpec
 	for _, zone := range []string{"bronte", "bronte", "catania", "catania", "adrano", "adrano", "paterno", "paterno"} {
@@ -33,7 +44,7 @@
 	if trouble {
 		for i := range 2 {
 			f.machines[i].target.close()
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(crashGap())
 		}
 		rec.say("2 targets crash")
 		time.Sleep(3 * time.Second)
