--- a/review/standins/target.go
+++ b/review/standins/target.go
@@ -101,6 +101,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == earlyPath {
+		// The target is full and says so before it has read the body.
+		header["X-Not-Executed"] = []string{"full"}
+		header["Content-Length"] = []string{"0"}
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(5 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, r.Body)
+		return
+	}
 	if t.running.Add(1) > int64(t.slots) {
 		t.running.Add(-1)
 		header["X-Not-Executed"] = []string{"full"}
