--- a/review/standins/case_herd.go
+++ b/review/standins/case_herd.go
@@ -21,17 +21,7 @@
 // caseHerd kills 18 of 32 daemons at once (0.56; the page names 0.6), while the operator moves a route and a target
 // reports that it drains.
 func caseHerd(rec *record, trouble bool) (bool, error) {
-	var specs []machineSpec
-	for _, zone := range []string{"bronte", "catania"} {
-		for i := range zoneSize {
-			service := oldService
-			if i%4 == 3 {
-				service = newService
-			}
-			specs = append(specs, machineSpec{zone, service})
-		}
-	}
-	f, err := newFleet(rec, specs, 9)
+	f, err := newHerdFleet(rec)
 	if err != nil {
 		return false, err
 	}
@@ -87,6 +77,21 @@
 	return judgeMoved(f, t, moved, grownApply, leaving), nil
 }
 
+// newHerdFleet returns a deployment of 2 zones and 2 services.
+func newHerdFleet(rec *record) (*fleet, error) {
+	var specs []machineSpec
+	for _, zone := range []string{"bronte", "catania"} {
+		for i := range zoneSize {
+			service := oldService
+			if i%4 == 3 {
+				service = newService
+			}
+			specs = append(specs, machineSpec{zone, service})
+		}
+	}
+	return newFleet(rec, specs, 9)
+}
+
 // herd returns the machines to kill and the others. The draw takes the first 11 machines of one zone and the first 7 of
 // the other in the order of the daemons' election.
 func herd(f *fleet) (killed, alive []*machine) {
