roster: ignore a late write of an older state of an upstream

Cause: the replica ordered the states of one record by the registry's revision only, which is the order of completion. A heartbeat that the registry completes late has a higher revision than the draining report that was sent after it.

Fix: within one record, the start (born) and the sequence number order the states.

--- a/internal/roster/builder.go
+++ b/internal/roster/builder.go
@@ -4,34 +4,20 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
-	"strings"
 	"time"
 
 	"cicadacross"
 )
 
-// builder builds configurations from the records of the replica. It caches decoded records and decodes a record again
-// only when its revision has changed. Only the control goroutine uses it.
+// builder builds configurations from the records of the replica. Only the control goroutine uses it.
 type builder struct {
 	opts            *Options
 	routing         cicadacross.RoutingOptions
 	routingDigest   string
 	routingRevision cicadacross.Revision
-	instances       map[string]*instance
 }
 
-// instance is the decoded record of an upstream. If err is not nil, the record is invalid and decoded must not be used.
-type instance struct {
-	revision cicadacross.Revision
-	decoded  cicadacross.Instance
-	// warmupEnd is the time at which the upstream is expected to be warm; the zero time means that it needs no warm-up.
-	warmupEnd time.Time
-	err       error
-}
-
-func newBuilder(opts *Options) *builder {
-	return &builder{opts: opts, instances: make(map[string]*instance)}
-}
+func newBuilder(opts *Options) *builder { return &builder{opts: opts} }
 
 // updateRouting decodes the routing record if its revision is newer than that of the last one. On error, the current
 // routing stays in use; the error has KindStale if the version number of the record is lower than the current one.
@@ -70,26 +56,6 @@
 	}
 }
 
-// decodeInstance decodes the record of an upstream, or returns the cached result for an unchanged revision. The
-// remaining warm-up time counts from learnedAt.
-func (b *builder) decodeInstance(record cicadacross.Record, learnedAt time.Time) *instance {
-	inst, ok := b.instances[record.Key]
-	if ok && inst.revision == record.Revision {
-		return inst
-	}
-	inst = &instance{revision: record.Revision}
-	inst.decoded, inst.err = b.opts.Format.Instance(record)
-	if inst.err == nil && inst.decoded.WarmupRemaining > 0 {
-		inst.warmupEnd = learnedAt.Add(inst.decoded.WarmupRemaining)
-	}
-	b.instances[record.Key] = inst
-	if inst.err != nil {
-		b.opts.Logger.Info("ignoring an invalid instance record", "key", record.Key, "revision", uint64(record.Revision),
-			"reason", inst.err.Error())
-	}
-	return inst
-}
-
 // build returns the configuration that the records in r describe at the time now, or nil when no routing is known. It
 // leaves out invalid instances and those of unknown services, and keeps only the newest instance at each address.
 func (b *builder) build(now time.Time, r *replica) *cicadacross.Configuration {
@@ -97,18 +63,9 @@
 		return nil
 	}
 	newestByAddress := make(map[string]*instance)
-	prefix := b.opts.Format.InstancePrefix()
-	for key, entry := range r.records {
-		if !strings.HasPrefix(key, prefix) {
-			continue
-		}
-		record, ok := entry.effective(now)
-		if !ok {
-			delete(b.instances, key)
-			continue
-		}
-		inst := b.decodeInstance(record, entry.learnedAt)
-		if inst.err != nil {
+	for _, entry := range r.records {
+		inst := entry.effectiveInstance(now)
+		if inst == nil {
 			continue
 		}
 		if _, known := b.routing.Services[inst.decoded.Service]; !known {
@@ -133,14 +90,6 @@
 	return cicadacross.NewConfiguration(options)
 }
 
-// newer reports whether i is the later of two instances with the same address.
-func (i *instance) newer(other *instance) bool {
-	if i.decoded.Generation != other.decoded.Generation {
-		return i.decoded.Generation > other.decoded.Generation
-	}
-	return i.revision > other.revision
-}
-
 // target returns the target for an instance and the daemon on its host, which has the same IP address. All daemons use
 // the same ports.
 func (b *builder) target(i *instance) cicadacross.Target {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -102,12 +102,12 @@
 		opts.Metrics = metrics.NewRegistry()
 	}
 	d := &Roster{
-		opts: opts, replica: newReplica(), updates: make(chan update, updateQueueSize),
+		opts: opts, updates: make(chan update, updateQueueSize),
 		changedRecords:   metrics.GetOrRegisterCounter("registry.records_changed", opts.Metrics),
 		rejectedRoutings: metrics.GetOrRegisterCounter("registry.routing_rejected", opts.Metrics),
 		deviationCount:   metrics.GetOrRegisterGauge("registry.routing_deviations", opts.Metrics),
 	}
-	d.builder = newBuilder(&d.opts)
+	d.replica, d.builder = newReplica(&d.opts), newBuilder(&d.opts)
 	d.state.Store(&controlState{})
 	d.publisher.init(d)
 	d.election.init(d)
--- a/registry.go
+++ b/registry.go
@@ -68,8 +68,11 @@
 	State            InstanceState
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
-	// Generation orders the starts of an upstream under one ID; the later start has the greater number.
+	// Generation orders the starts of an upstream under one ID; the later start has the greater number. 0
+	// means unknown.
 	Generation int64
+	// Sequence orders the states that the upstream has written since its start; the later state has the greater number.
+	Sequence int64
 	// WarmupRemaining is the time for which the upstream is still slow after its start, counted from its report.
 	WarmupRemaining time.Duration
 }
