roster: send a large record of an upstream whole

What callers would see: requests handled by an older configuration, since the streams between daemons end again and again (reported by another operator: an odd entry among those of the targets).

Cause: a changed record of 1 KB or more was sent as the difference to its previous value, whatever its key. A receiver keeps only the previous routing to decode a difference, so any other large record that was written again ended all streams from that daemon ("record servers/odd is compressed against revision 5, but revision 7 is held"). Found with a deeply nested entry of 2 KB, written five times.

Fix: only the routing is sent as a difference. The new counter registry.failed_streams shows streams that end although they are wanted.

--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -123,6 +123,7 @@
 	defer s.cancel()
 	err := s.follow(ctx)
 	if ctx.Err() == nil {
+		d.failedStreams.Inc(1)
 		d.opts.Logger.V(1).Info("stream from a followed daemon ended", "peer", s.host, "reason", err.Error())
 	}
 	s.manager.mu.Lock()
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -117,7 +117,7 @@
 	frame.Whole = after == 0
 	u := d.replica.updateSince(now, after)
 	for i, record := range u.changes.Records {
-		frame.Records = append(frame.Records, encodeRecord(change{record: record}, u.recordAges[i]))
+		frame.Records = append(frame.Records, encodeRecord(record, cicadacross.Record{}, u.recordAges[i]))
 	}
 	d.publisher.followers[f] = true
 	f.frames <- frame
@@ -131,7 +131,11 @@
 	}
 	frame := p.roster.newFrame()
 	for _, c := range changed {
-		frame.Records = append(frame.Records, encodeRecord(c, 0))
+		var base cicadacross.Record
+		if c.record.Key == p.roster.opts.Format.RoutingKey() {
+			base = c.previous
+		}
+		frame.Records = append(frame.Records, encodeRecord(c.record, base, 0))
 	}
 	p.broadcast(frame)
 }
@@ -173,31 +177,22 @@
 // hundreds of KB; compressed against the previous value, a change of one route has a few dozen bytes.
 const compressionThreshold = 1 << 10
 
-// encodeRecord encodes a changed record. A large value is compressed, if possible against the previous one. Followers
-// must hold the previous record then.
-func encodeRecord(c change, age time.Duration) *peerpb.Record {
-	record := c.record
+// encodeRecord encodes a record. A large value is compressed against the value of base, which followers must hold, unless
+// that value is small. Followers hold no other previous record than that of the routing.
+func encodeRecord(record, base cicadacross.Record, age time.Duration) *peerpb.Record {
 	encoded := &peerpb.Record{
 		Key: record.Key, Value: record.Value, Revision: uint64(record.Revision), Removed: record.Removed,
 		AgeMs: durationToMilliseconds(age),
 	}
-	if len(record.Value) >= compressionThreshold {
-		base := c.compressionBase()
-		if base != nil {
-			encoded.Base = uint64(c.previous.Revision)
-		}
-		encoded.Value, encoded.Packed = pack.Compress(record.Value, base), true
+	if len(record.Value) < compressionThreshold {
+		return encoded
 	}
-	return encoded
-}
-
-// compressionBase returns the previous value, against which the new one is compressed, or nil when the previous value
-// is smaller than compressionThreshold.
-func (c change) compressionBase() []byte {
-	if len(c.previous.Value) >= compressionThreshold {
-		return c.previous.Value
+	var dictionary []byte
+	if len(base.Value) >= compressionThreshold {
+		encoded.Base, dictionary = uint64(base.Revision), base.Value
 	}
-	return nil
+	encoded.Value, encoded.Packed = pack.Compress(record.Value, dictionary), true
+	return encoded
 }
 
 // decodeRecord decodes a record. The base is the previous record of the sender, as far as it is known; the error has
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -74,6 +74,8 @@
 	rejectedRoutings metrics.Counter
 	// deviationCount is the number of parts of the current routing that are not used as published.
 	deviationCount metrics.Gauge
+	// failedStreams counts the streams from followed daemons that ended although they were still wanted.
+	failedStreams metrics.Counter
 
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -106,6 +108,7 @@
 		changedRecords:   metrics.GetOrRegisterCounter("registry.records_changed", opts.Metrics),
 		rejectedRoutings: metrics.GetOrRegisterCounter("registry.routing_rejected", opts.Metrics),
 		deviationCount:   metrics.GetOrRegisterGauge("registry.routing_deviations", opts.Metrics),
+		failedStreams:    metrics.GetOrRegisterCounter("registry.failed_streams", opts.Metrics),
 	}
 	d.replica, d.builder = newReplica(&d.opts), newBuilder(&d.opts)
 	d.state.Store(&controlState{})
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/stats"
 	"gotest.tools/v3/assert"
@@ -47,6 +48,13 @@
 	*roster.Roster
 	store *standin.Store // the store that this node uses
 	sent  *atomic.Int64  // bytes sent to other nodes
+	// metrics holds the metrics of the node.
+	metrics metrics.Registry
+}
+
+// failedStreams returns the number of streams from other nodes that ended although they were still wanted.
+func (n *node) failedStreams() int64 {
+	return metrics.GetOrRegisterCounter("registry.failed_streams", n.metrics).Count()
 }
 
 // sentBytesHandler counts the bytes that a gRPC server sends.
@@ -80,10 +88,11 @@
 	registry, err := platform.NewStore(store.Address(), netip.MustParseAddr(host))
 	assert.NilError(t, err)
 	pool := peer.NewPool(fleetKey)
+	values := metrics.NewRegistry()
 	d, err := roster.New(roster.Options{
 		Host: host, AvailabilityZone: "z1", PeerPort: port, OperatorPort: port + 1,
 		Registry: registry, Format: platform.Format{}, Timers: timer.System{}, Pool: pool,
-		LinkMbps: mbps,
+		LinkMbps: mbps, Metrics: values,
 	})
 	assert.NilError(t, err)
 	sent := new(sentBytesHandler)
@@ -98,7 +107,7 @@
 		d.Stop()
 		pool.Close()
 	})
-	return &node{Roster: d, store: store, sent: &sent.sum}
+	return &node{Roster: d, store: store, sent: &sent.sum, metrics: values}
 }
 
 func serve(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
