roster, platform: drop the values of records that are never used

What callers would see: requests handled by an older configuration on all daemons that follow another one (reported by another operator: an odd entry among those of the targets).

Cause: the replica kept and sent every value under any key, also those that name no target. Two entries of 1 MB of arbitrary bytes make a frame larger than the 1,114,112 bytes that a daemon accepts ("received message larger than max (2097520 vs. 1114112)"). The stream ends, the next one starts with the same records, and so on for as long as the entries exist. A daemon whose own calls are refused no longer follows anything.

Fix: the value of an invalid entry, or of a key that is neither the routing nor an entry, is dropped when it is read.

Not found here: processes that end by themselves.

--- a/internal/roster/odd_record_test.go
+++ b/internal/roster/odd_record_test.go
@@ -1,6 +1,8 @@
 package roster_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -23,6 +25,34 @@
 	return strings.Replace(oddRecord("127.0.0.9:80"), "{", `{"extra":`+list+",", 1)
 }
 
+// oddRecords returns values that another writer than an upstream may leave under the key prefix of the upstreams.
+func oddRecords(t *testing.T) map[string]string {
+	t.Helper()
+	random := make([]byte, 1<<20)
+	_, err := rand.NewChaCha8([32]byte{2}).Read(random)
+	assert.NilError(t, err)
+	sound := oddRecord("127.0.0.9:80")
+	records := map[string]string{
+		"nested":        nestedRecord(1000),
+		"nested deeply": nestedRecord(500_000),
+		"not closed":    strings.Repeat("[", 1_000_000),
+		"port":          oddRecord("127.0.0.9:80000"),
+		"port negative": oddRecord("127.0.0.9:-1"),
+		"port huge":     oddRecord("127.0.0.9:99999999999999999999"),
+		"no port":       oddRecord("127.0.0.9"),
+		"any bytes":     string(random),
+		"long address":  oddRecord(strings.Repeat("9", 500_000)),
+		"long zone":     strings.Replace(sound, `"z9"`, `"`+strings.Repeat("z", 500_000)+`"`, 1),
+	}
+	for _, number := range []string{"1e400", "-1e400", "1e19", "18446744073709551616", "1" + strings.Repeat("0", 5000)} {
+		for _, field := range []string{`"slots":4`, `"seq":1`, `"born":1`, `"coldRemainingS":0`} {
+			name, _, _ := strings.Cut(field, ":")
+			records[name+" "+number[:min(len(number), 20)]] = strings.Replace(sound, field, name+":"+number, 1)
+		}
+	}
+	return records
+}
+
 // startPair starts two nodes, of which the second has the first as its only source.
 func startPair(t *testing.T, store *standin.Store) (*node, *node) {
 	t.Helper()
@@ -56,3 +86,34 @@
 	poll.WaitOn(t, second.hasNumber(4), pollFor(applyLimit))
 	assert.Equal(t, second.failedStreams()-before, int64(0))
 }
+
+// Guards against daemons that end, or stop following the registry or each other, because another writer leaves an odd
+// record among those of the upstreams and writes it again.
+func TestOddRecordsDoNotStopFollowing(t *testing.T) {
+	for name, value := range oddRecords(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			defer store.Close()
+			first, second := startPair(t, store)
+			before := second.failedStreams()
+			version := 3
+			for round := range 6 {
+				store.Put("servers/odd", value+strings.Repeat(" ", round))
+				store.Put(fmt.Sprintf("servers/odd-%d", round), value)
+				time.Sleep(300 * time.Millisecond)
+				version++
+				store.Put("op/config", routingRecord(version))
+				for _, n := range []*node{first, second} {
+					poll.WaitOn(t, n.hasNumber(uint64(version)), pollFor(applyLimit))
+				}
+			}
+			assert.Equal(t, second.failedStreams()-before, int64(0))
+			third := startNode(t, "127.0.0.3", freePort(t), store)
+			poll.WaitOn(t, third.hasNumber(uint64(version)), pollFor(applyLimit))
+			for _, n := range []*node{first, second, third} {
+				assert.Assert(t, !n.IsLeaving("127.0.0.1") && !n.IsLeaving("127.0.0.2"))
+			}
+		})
+	}
+}
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -177,8 +177,8 @@
 // hundreds of KB; compressed against the previous value, a change of one route has a few dozen bytes.
 const compressionThreshold = 1 << 10
 
-// encodeRecord encodes a record. A large value is compressed against the value of base, which followers must hold, unless
-// that value is small. Followers hold no other previous record than that of the routing.
+// encodeRecord encodes a record. A large value is compressed against the value of base, which followers must hold,
+// unless that value is small. Followers hold no other previous record than that of the routing.
 func encodeRecord(record, base cicadacross.Record, age time.Duration) *peerpb.Record {
 	encoded := &peerpb.Record{
 		Key: record.Key, Value: record.Value, Revision: uint64(record.Revision), Removed: record.Removed,
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -151,17 +151,24 @@
 	return true
 }
 
-// newEntry returns an entry for the record, decoded if it is the record of an upstream.
+// newEntry returns an entry for the record, decoded if it is the record of an upstream. It drops the value of a record
+// that is never used, so that it takes no memory and isn't sent to other daemons.
 func (r *replica) newEntry(record cicadacross.Record, learnedAt time.Time) *replicaEntry {
 	entry := &replicaEntry{record: record, learnedAt: learnedAt}
-	if record.Removed || !strings.HasPrefix(record.Key, r.opts.Format.InstancePrefix()) {
+	isInstance := strings.HasPrefix(record.Key, r.opts.Format.InstancePrefix())
+	switch {
+	case record.Removed || record.Key == r.opts.Format.RoutingKey():
+		return entry
+	case !isInstance || len(record.Value) == 0:
+		// The daemon that dropped an invalid value has logged the reason.
+		entry.record.Value, entry.invalid = nil, isInstance
 		return entry
 	}
 	decoded, err := r.opts.Format.Instance(record)
 	if err != nil {
 		r.opts.Logger.Info("ignoring an invalid instance record", "key", record.Key, "revision", uint64(record.Revision),
 			"reason", err.Error())
-		entry.invalid = true
+		entry.record.Value, entry.invalid = nil, true
 		return entry
 	}
 	entry.state = &instance{revision: record.Revision, decoded: decoded}
