platform, roster: list the records when a watch can't return the changes

Cause: a watch returns every version in between. Its response may exceed the 4 MiB limit, or the time limit on a slow link, and the reader repeated the same watch, whose response only grew. The time limit of a response also counted the wait of up to 10 s before it.

Such a watch is no confirmation. Registry.IsHistoryLost becomes RequiresListing.

--- a/internal/roster/error.go
+++ b/internal/roster/error.go
@@ -11,7 +11,7 @@
 	KindPeer Kind = "peer"
 	// KindStale means that a routing is older than the current one.
 	KindStale Kind = "stale"
-	// KindInterrupted means that this daemon itself canceled a call to the registry.
+	// KindInterrupted means that this daemon itself canceled a call to the registry or continues with another one.
 	KindInterrupted Kind = "interrupted"
 	// KindSetup means that a required option is missing.
 	KindSetup Kind = "setup"
--- a/internal/roster/odd_record_test.go
+++ b/internal/roster/odd_record_test.go
@@ -14,6 +14,9 @@
 	"cicadacross/platform/standin"
 )
 
+// slowLinkApplyLimit is the time limit that the platform sets for applying a change where links are slow.
+const slowLinkApplyLimit = 2500 * time.Millisecond
+
 // oddRecord returns the record of a ready upstream in an availability zone without daemons.
 func oddRecord(address string) string {
 	return strings.Replace(instanceRecord(address, "ready", 1), `"z1"`, `"z9"`, 1)
@@ -117,3 +120,33 @@
 		})
 	}
 }
+
+// Guards against a reader that repeats a watch whose response is too large, or too slow on its link, and so follows
+// neither the operator nor the upstreams until the registry has discarded its history.
+func TestWatchWithTooManyChangesIsReplacedByAListing(t *testing.T) {
+	const key = "servers/i-2"
+	for name, c := range map[string]struct {
+		faults      standin.Faults
+		size, count int
+	}{
+		"too large": {standin.Faults{}, 1 << 20, 6},
+		"too slow":  {standin.Faults{SlowHost: "127.0.0.1", SlowDelay: slowDelay}, 100_000, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			defer store.Close()
+			publishFleet(store)
+			n := startNode(t, "127.0.0.1", freePort(t), store)
+			poll.WaitOn(t, n.hasVersion(3, 2), pollFor(applyLimit))
+			store.SetFaults(c.faults)
+			for i := range c.count {
+				store.Put("servers/odd", strings.Repeat(fmt.Sprint(i), c.size))
+			}
+			store.Put(key, instanceRecord("127.0.0.2:80", "draining", 1))
+			store.Put("op/config", routingRecord(4))
+			poll.WaitOn(t, n.hasNumber(4), pollFor(slowLinkApplyLimit))
+			assert.Assert(t, n.IsLeaving("127.0.0.2"))
+		})
+	}
+}
--- a/internal/roster/reader.go
+++ b/internal/roster/reader.go
@@ -70,8 +70,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, errInterrupted) {
-			// The registry didn't respond, so no confirmation is recorded and another daemon may take over.
+		if errors.Is(err, errInterrupted) || errors.Is(err, errListingRequired) {
+			// The registry didn't confirm the records, so that another daemon may take over.
 			continue
 		}
 		r.recordResult(err)
@@ -107,10 +107,11 @@
 	r.watchedRevision.Store(uint64(after))
 	changes, err := r.watch(ctx, after)
 	if err != nil {
-		if d.opts.Registry.IsHistoryLost(err) {
-			d.opts.Logger.Info("registry has discarded the requested changes; listing all records", "revision", uint64(after))
+		if d.opts.Registry.RequiresListing(err) {
+			d.opts.Logger.Info("registry watch can't return the changes; listing all records", "revision", uint64(after),
+				"reason", err.Error())
 			r.relist, r.missedChangeAt = true, d.opts.Timers.Now()
-			return nil
+			return errListingRequired
 		}
 		return err
 	}
@@ -128,6 +129,9 @@
 // errInterrupted means that the pinger canceled a watch that had missed a change.
 var errInterrupted = newError("watch", KindInterrupted, "canceled a watch that missed a change")
 
+// errListingRequired means that a watch can't return the changes, so that the next call lists all records.
+var errListingRequired = newError("watch", KindInterrupted, "the watch can't return the changes")
+
 // watch makes one call that the pinger may interrupt until the response begins to arrive. It returns errInterrupted if
 // the pinger did.
 func (r *reader) watch(ctx context.Context, after cicadacross.Revision) (cicadacross.Changes, error) {
--- a/registry.go
+++ b/registry.go
@@ -29,12 +29,14 @@
 	// List returns all current records.
 	List(ctx context.Context) (Changes, error)
 	// Watch waits for changes after a revision, at most for the wait of the options, and returns them, which may be none.
-	// The error satisfies IsHistoryLost when the registry no longer has these changes; the caller must then use List.
+	// The error satisfies RequiresListing when the changes can't be obtained by the same call; the caller must then use
+	// List.
 	Watch(ctx context.Context, opts WatchOptions) (Changes, error)
 	// Ping checks that the registry answers, with the cheapest request that it offers, and returns a recent revision.
 	Ping(ctx context.Context) (Revision, error)
-	// IsHistoryLost reports whether an error of Watch means that the registry has discarded the requested changes.
-	IsHistoryLost(err error) bool
+	// RequiresListing reports whether an error of Watch means that the same call would fail again: the registry has
+	// discarded the requested changes, or their response is too large or can't be read.
+	RequiresListing(err error) bool
 }
 
 // WatchOptions configures Registry.Watch.
