upstream: don't reuse a connection for a request that it rejected

What callers would see: 503 "not run" for a request that the upstream is running (reported by another operator: an earlier refusal written once more on a kept connection).

Cause: a connection isn't used again for a request that it has carried, since a late copy of the response has the right ID then. Rejections take a millisecond, and a rejected request may be sent again within its deadline.

TestConnectionIsNotUsedAgainForARejectedRequest (20 other requests in between) failed before with status 503 instead of 200; it passes now.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -54,7 +54,11 @@
 		if err := x.conn.readResponse(request, &x.response); err != nil {
 			return err
 		}
-		if !x.isMismatched() {
+		info := x.readInfo()
+		if !info.Mismatched {
+			if info.NotRun {
+				x.conn.recordRejection(x.id)
+			}
 			return nil
 		}
 		if err := x.discardMismatched(); err != nil {
@@ -64,14 +68,14 @@
 	return newError("call", KindBadResponse, "received %d responses to other calls", maxMismatchedResponses)
 }
 
-// isMismatched reports whether the response belongs to another call. Without a dialect, upstreams need not echo the
-// request ID, and only an ID that differs shows it.
-func (x *exchange) isMismatched() bool {
+// readInfo returns the metadata of the response. Without a dialect, upstreams need not echo the request ID, and only an
+// ID that differs shows that the response belongs to another call.
+func (x *exchange) readInfo() cicadacross.ResponseInfo {
 	if dialect := x.conn.upstream.opts.Dialect; dialect != nil {
-		return dialect.ReadResponse(x.id, x.response.StatusCode, x.response.Header).Mismatched
+		return dialect.ReadResponse(x.id, x.response.StatusCode, x.response.Header)
 	}
 	echoed := x.response.Header.Get(cicadacross.HeaderRequestID)
-	return echoed != "" && x.id != "" && echoed != x.id
+	return cicadacross.ResponseInfo{Mismatched: echoed != "" && x.id != "" && echoed != x.id}
 }
 
 // discardMismatched reads the body of a response to another call, up to maxMismatchedSize.
--- a/internal/upstream/trouble_test.go
+++ b/internal/upstream/trouble_test.go
@@ -110,6 +110,43 @@
 	assert.Equal(t, connections.Load(), int32(2))
 }
 
+// Guards against a late copy of a rejection that is mistaken for the response to the next send of the same request,
+// although the connection has carried other requests in between.
+func TestConnectionIsNotUsedAgainForARejectedRequest(t *testing.T) {
+	const others = 20
+	u := newRawUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+		rejected := false
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get("X-Attempt-Id")
+			answer := success(id, "ran")
+			switch {
+			case id == "a" && request.URL.Path == "/first":
+				answer, rejected = rejection(id), true
+			case rejected && id == "a":
+				answer = rejection(id) + answer
+			}
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+	})
+	status, _, err := sendTo(t.Context(), u, "/first", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	for i := range others {
+		_, _, err := send(t.Context(), u, fmt.Sprintf("other-%d", i))
+		assert.NilError(t, err)
+	}
+	status, body, err := send(t.Context(), u, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "ran")
+}
+
 // Guards against a late copy of an answer that the next caller gets, in the own interface: an upstream that echoes the
 // request ID identifies the call that the response belongs to.
 func TestLateCopyIsSkippedWithoutDialect(t *testing.T) {
@@ -137,12 +174,17 @@
 
 // send sends one call with the ID and returns the status and the body of its response.
 func send(ctx context.Context, u *upstream.Upstream, id string) (int, string, error) {
+	return sendTo(ctx, u, "/", id)
+}
+
+// sendTo sends one call for the path with the ID and returns the status and the body of its response.
+func sendTo(ctx context.Context, u *upstream.Upstream, path, id string) (int, string, error) {
 	conn, err := u.Connect(ctx, id)
 	if err != nil {
 		return 0, "", err
 	}
 	response, err := conn.Do(ctx, upstream.Call{
-		Method: http.MethodGet, Path: "/", Host: "h", ID: id, Header: http.Header{"X-Attempt-Id": {id}},
+		Method: http.MethodGet, Path: path, Host: "h", ID: id, Header: http.Header{"X-Attempt-Id": {id}},
 	})
 	if err != nil {
 		return 0, "", err
