--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -59,6 +59,8 @@
 			if info.NotRun {
 				x.conn.recordRejection(x.id)
 			}
+			// The real response to the call may follow an invalid one.
+			x.conn.notReusable = x.conn.notReusable || info.Invalid != ""
 			return nil
 		}
 		if err := x.discardMismatched(); err != nil {
