roster: follow other daemons when the first ones are lost

Cause: all daemons of a zone follow the first two of the election order, and the next reader waits 0.25 s for each daemon before it. When these are gone too, the wait is for nobody, and nobody is followed meanwhile.

Fix: a daemon that ends its stream or is silent for two heartbeats is lost. When one of the first two is lost, more hosts of the order are followed, four times as many at each step, until enough deliver frames; lost daemons don't count in the wait. The window is a type of its own.

--- a/internal/roster/election.go
+++ b/internal/roster/election.go
@@ -22,8 +22,8 @@
 	// initialReaderTimeout replaces confirmationTimeout after this daemon discovered others at earlier positions of the
 	// election order. It covers the start of a stream from them.
 	initialReaderTimeout = 600 * time.Millisecond
-	// takeoverStep is the additional timeout per position, so that the daemons of an availability zone don't take over
-	// at the same time.
+	// takeoverStep is the additional timeout per position that isn't lost, so that the daemons of an availability zone
+	// don't take over at the same time.
 	takeoverStep = 250 * time.Millisecond
 	// electionCheckInterval is the time between two checks whether this daemon is elected.
 	electionCheckInterval = 100 * time.Millisecond
@@ -42,6 +42,8 @@
 	otherHosts []string
 	// position is the index of this host in zoneHosts.
 	position int
+	// lost holds the hosts of the availability zone that can't be expected to read the registry.
+	lost map[string]bool
 	// ownConfirmedAt is when the registry last confirmed the records to this daemon; readerConfirmedAt is the latest time
 	// at which it did so to a reader at an earlier position, as far as that reader has reported it.
 	ownConfirmedAt    time.Time
@@ -157,7 +159,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	elected := e.roster.opts.EveryDaemonReads || !e.hostsKnown || e.position == 0 ||
-		now.Sub(e.readerConfirmedAt) > confirmationTimeout+time.Duration(e.position-1)*takeoverStep
+		now.Sub(e.readerConfirmedAt) > confirmationTimeout+time.Duration(max(0, e.hostsAhead()-1))*takeoverStep
 	if elected != e.loggedElected {
 		e.loggedElected = elected
 		e.roster.opts.Logger.Info("registry reader election changed", "elected", elected, "place", e.position,
@@ -185,18 +187,30 @@
 	}
 }
 
-// followedHosts returns the hosts to follow: those of the first followedPositions of the availability zone without this
-// one.
-func (e *election) followedHosts() []string {
+// order returns the hosts of the availability zone in election order and the position of this host in it.
+func (e *election) order() (hosts []string, own int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var hosts []string
-	for _, host := range e.zoneHosts[:min(len(e.zoneHosts), followedPositions)] {
-		if host != e.roster.opts.Host {
-			hosts = append(hosts, host)
+	return slices.Clone(e.zoneHosts), e.position
+}
+
+// setLost sets which hosts of the availability zone are lost.
+func (e *election) setLost(lost map[string]bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = lost
+}
+
+// hostsAhead returns the number of hosts before this one in the election order that aren't lost. The caller must hold
+// mu.
+func (e *election) hostsAhead() int {
+	n := 0
+	for _, host := range e.zoneHosts[:min(e.position, len(e.zoneHosts))] {
+		if !e.lost[host] {
+			n++
 		}
 	}
-	return hosts
+	return n
 }
 
 // randomOtherHost returns a random other host of the fleet, or "" when there is none.
--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -14,7 +14,7 @@
 
 const (
 	// followedPositions is the number of positions at the start of the election order whose daemons all others of the
-	// availability zone follow: the reader and the one that replaces it.
+	// availability zone follow, as long as they are not lost: the reader and the one that replaces it.
 	followedPositions = 2
 	// followCheckInterval is the time between two checks of which daemons to follow.
 	followCheckInterval = 250 * time.Millisecond
@@ -35,13 +35,14 @@
 	// mu protects streams, which holds the subscription to each followed host.
 	mu      sync.Mutex
 	streams map[string]*subscription
+	window  *followWindow
 	// fallbackHost is the random host that is followed since fallbackSince; "" means none.
 	fallbackHost  string
 	fallbackSince time.Time
 }
 
 func (d *Roster) startFollowing(ctx context.Context) {
-	f := &followManager{roster: d, streams: make(map[string]*subscription)}
+	f := &followManager{roster: d, streams: make(map[string]*subscription), window: newFollowWindow()}
 	d.goroutines.Add(1)
 	go f.run(ctx)
 }
@@ -65,7 +66,10 @@
 func (f *followManager) reconcile(ctx context.Context) {
 	wanted := make(map[string]bool)
 	if !f.roster.opts.EveryDaemonReads {
-		for _, host := range f.roster.election.followedHosts() {
+		order, own := f.roster.election.order()
+		followed, lost := f.window.update(f.roster.opts.Timers.Now(), order, own)
+		f.roster.election.setLost(lost)
+		for _, host := range followed {
 			wanted[host] = true
 		}
 	}
@@ -124,6 +128,7 @@
 	err := s.follow(ctx)
 	if ctx.Err() == nil {
 		d.failedStreams.Inc(1)
+		s.manager.window.recordFailure(s.host)
 		d.opts.Logger.V(1).Info("stream from a followed daemon ended", "peer", s.host, "reason", err.Error())
 	}
 	s.manager.mu.Lock()
@@ -162,6 +167,7 @@
 			return wrapError("follow", KindPeer, err, "host %s", s.host)
 		}
 		watchdog.frameReceived()
+		s.manager.window.recordFrame(s.host, d.opts.Timers.Now())
 		if err := s.handleFrame(ctx, frame); err != nil {
 			return err
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -50,6 +50,13 @@
 	sent  *atomic.Int64  // bytes sent to other nodes
 	// metrics holds the metrics of the node.
 	metrics metrics.Registry
+	server  *grpc.Server
+}
+
+// kill stops the node at once. It doesn't tell other nodes.
+func (n *node) kill() {
+	n.server.Stop()
+	n.Stop()
 }
 
 // failedStreams returns the number of streams from other nodes that ended although they were still wanted.
@@ -107,7 +114,7 @@
 		d.Stop()
 		pool.Close()
 	})
-	return &node{Roster: d, store: store, sent: &sent.sum, metrics: values}
+	return &node{Roster: d, store: store, sent: &sent.sum, metrics: values, server: server}
 }
 
 func serve(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
