ingress: remove the connection's headers before setting our own

X-Attempt-Id could be removed in the same way; the target and the remaining time are set by the owner later.

Fix: the ingress removes the headers of the connection first.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -120,6 +120,7 @@
 // the caller must get instead. An error means that the response was aborted.
 func (s *Server) forward(w http.ResponseWriter, req *request) (*refusalResponse, error) {
 	if s.opts.Dialect != nil {
+		relay.RemoveConnectionHeaders(req.http.Header)
 		s.opts.Dialect.SetForwardHeaders(req.http.Header, s.opts.Service)
 	}
 	headers := relay.EncodeHeader(req.http.Header)
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"net/http"
 	"strings"
 
@@ -46,6 +47,13 @@
 	return list
 }
 
+// RemoveConnectionHeaders removes the headers that concern only the connection to the sender: the hop-by-hop headers
+// and those that the sender lists in its Connection header, which has no effect on headers that are set afterwards.
+func RemoveConnectionHeaders(header http.Header) {
+	named := connectionTokens(header)
+	maps.DeleteFunc(header, func(name string, _ []string) bool { return hopByHopHeaders[name] || named[name] })
+}
+
 // connectionTokens returns the names that the Connection header lists.
 func connectionTokens(header http.Header) map[string]bool {
 	var named map[string]bool
