integration: late writes, odd records and copied rejections in the soak

The soak now also makes the store complete a write of an upstream late, leaves odd records of other writers among those of the upstreams, and sends payments to upstreams that copy a rejection before their answer or break off in its head.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -26,7 +26,8 @@
 
 // The soak test runs the real daemons as separate processes and injects random faults from outside: links that are
 // disconnected, drop all data or are slow; daemons that are stopped, paused, or killed and restarted; upstreams that
-// crash and register again, and whose answers come twice, broken off or without end; and a faulty store. The seed
+// crash and register again, and whose answers come twice, broken off, without end or behind a copy of a rejection; a
+// faulty store, which also completes writes of upstreams late; and odd records of other writers in it. The seed
 // determines the faults, but the timing of the processes differs from run to run.
 //
 //	go test ./integration -run TestSoak -soak.seeds=50 -soak.first=100
@@ -75,6 +76,8 @@
 	daemon         *harness.Process
 	upstream       *standin.Upstream
 	upstreamStarts int
+	// sequence counts the states that the upstream has registered.
+	sequence int
 	// disturbanceEvents counts the starts and the ends of kills and pauses, so that it is odd during one.
 	disturbanceEvents int
 }
@@ -198,9 +201,27 @@
 }
 
 func (h *soakHost) register(state string) {
+	h.sequence++
+	h.writeState(state, h.sequence)
+}
+
+func (h *soakHost) writeState(state string, sequence int) {
 	h.soak.store.Put("servers/"+h.upstream.ID, fmt.Sprintf(`{"address":"%s:%d","born":%d,"info":{"service":"desk",`+
-		`"version":"v1","zone":"z%d","slots":4},"status":{"state":%q,"seq":1,"coldRemainingS":0}}`, h.ip(),
-		registeredUpstreamPort, h.upstreamStarts, h.n%2, state))
+		`"version":"v1","zone":"z%d","slots":4},"status":{"state":%q,"seq":%d,"coldRemainingS":0}}`, h.ip(),
+		registeredUpstreamPort, h.upstreamStarts, h.n%2, state, sequence))
+}
+
+// writeLate makes the store complete a write of the upstream that is older than its current state.
+func (h *soakHost) writeLate() { h.writeState("draining", h.sequence-1) }
+
+// putOddRecord leaves a record that names no upstream among those of the upstreams.
+func (s *soak) putOddRecord() {
+	number, size := s.random.IntN(4), s.random.IntN(500_000)
+	odd := []string{
+		`{"address":"127.0.0.1:99999","born":1e400}`, strings.Repeat("[", size), strings.Repeat("\xff", size),
+		`{"x":` + strings.Repeat("[", 500) + strings.Repeat("]", 500) + `}`,
+	}
+	s.store.Put(fmt.Sprintf("servers/odd-%d", s.random.IntN(3)), odd[number])
 }
 
 func (h *soakHost) startDaemon() {
@@ -239,6 +260,8 @@
 		{"store down", func() { s.store.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable}) }},
 		{"store up", func() { s.store.SetFaults(standin.Faults{}) }},
 		{"store forgets", s.store.DiscardHistory},
+		{"late write", h.writeLate},
+		{"odd record", s.putOddRecord},
 		{"publish", s.publish},
 	}
 	f := faults[s.random.IntN(len(faults))]
@@ -330,9 +353,12 @@
 }
 
 // upstreamTroubles are the paths for which an upstream answers late and twice, rejects the first send and repeats the
-// rejection, breaks off its answer, answers without a length, closes the connection, or sends bytes without end.
+// rejection, breaks off its answer in the body or the head, answers without a length, closes the connection, sends
+// bytes without end, or copies a rejection before its answer.
 var upstreamTroubles = []string{
 	"/extra", "/rejectonce", "/rejectonce/run=100ms", "/cut", "/unframed", "/reset", "/reject", "/garbage", "/endless",
+	"/copy=unnamed", "/copy=other", "/copy=two", "/copy=misdirected", "/head=length/60", "/head=unframed/40",
+	"/head=chunked/80/reset",
 }
 
 // sendRequests sends requests until ctx is done, mostly on one connection.
