upstream: send a rejected request again on a new connection

Cause: the copy has the right ID, and the connection was the only thing to tell it from a new rejection.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -43,34 +43,20 @@
 	// recentIDs holds the IDs of the latest calls.
 	recentIDs [recentIDCount]string
 	callCount int
-	// rejectedIDs holds the IDs of the calls that the upstream rejected. Their requests may be sent again at any time.
-	rejectedIDs []string
 }
 
-const (
-	// recentIDCount is the number of calls on a connection of which late copies of the response are expected.
-	recentIDCount = 8
-	// maxRejectedIDs bounds the memory for rejectedIDs: the connection is closed after so many rejections.
-	maxRejectedIDs = 256
-)
+// recentIDCount is the number of calls on a connection of which late copies of the response are expected.
+const recentIDCount = 8
 
-// carried reports whether one of the latest calls on the connection, or any rejected one, had the ID. A late copy of
-// its response could not be distinguished from the response to another call with the ID.
-func (c *Connection) carried(id string) bool {
-	return id != "" && (slices.Contains(c.recentIDs[:], id) || slices.Contains(c.rejectedIDs, id))
-}
+// carried reports whether one of the latest calls on the connection had the ID. A late copy of its response could not
+// be distinguished from the response to another call with the ID.
+func (c *Connection) carried(id string) bool { return id != "" && slices.Contains(c.recentIDs[:], id) }
 
 func (c *Connection) recordID(id string) {
 	c.recentIDs[c.callCount%recentIDCount] = id
 	c.callCount++
 }
 
-// recordRejection records that the upstream rejected the call with the ID.
-func (c *Connection) recordRejection(id string) {
-	c.rejectedIDs = append(c.rejectedIDs, id)
-	c.notReusable = c.notReusable || len(c.rejectedIDs) >= maxRejectedIDs
-}
-
 // Call is one request to the upstream.
 type Call struct {
 	Method string
@@ -103,13 +89,16 @@
 }
 
 // Connect reserves a connection for one call with the ID, which may be empty. It prefers an idle one, which it checks
-// first, but not one that has carried a call with the same ID. It waits while all connections are in use.
+// first, but not one that has carried a call with the same ID, and none for a call that the upstream has rejected
+// before. It waits while all connections are in use.
 func (u *Upstream) Connect(ctx context.Context, id string) (*Connection, error) {
 	if err := u.pool.acquire(ctx); err != nil {
 		return nil, err
 	}
-	if c := u.takeUsable(id); c != nil {
-		return c, nil
+	if !u.rejections.contains(id) {
+		if c := u.takeUsable(id); c != nil {
+			return c, nil
+		}
 	}
 	u.pool.makeRoom()
 	c, err := u.dialNew(ctx)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -57,7 +57,7 @@
 		info := x.readInfo()
 		if !info.Mismatched {
 			if info.NotRun {
-				x.conn.recordRejection(x.id)
+				x.conn.upstream.rejections.add(x.id)
 			}
 			// The real response to the call may follow an invalid one.
 			x.conn.notReusable = x.conn.notReusable || info.Invalid != ""
--- a/internal/upstream/trouble_test.go
+++ b/internal/upstream/trouble_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -111,12 +112,13 @@
 }
 
 // Guards against a late copy of a rejection that is mistaken for the response to the next send of the same request,
-// although the connection has carried other requests in between.
-func TestConnectionIsNotUsedAgainForARejectedRequest(t *testing.T) {
-	const others = 20
+// although other requests were sent in between, or the copy arrives on another kept connection.
+func TestRejectedRequestIsSentOnANewConnection(t *testing.T) {
+	const others, idle = 20, 3
+	var rejected atomic.Bool
+	together := make(chan struct{}, idle)
 	u := newRawUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
-		rejected := false
-		for {
+		for n := 0; ; n++ {
 			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
@@ -124,27 +126,42 @@
 			id := request.Header.Get("X-Attempt-Id")
 			answer := success(id, "ran")
 			switch {
-			case id == "a" && request.URL.Path == "/first":
-				answer, rejected = rejection(id), true
-			case rejected && id == "a":
+			case id == "a" && !rejected.Swap(true):
+				answer = rejection(id)
+			case id == "a" && n > 0:
 				answer = rejection(id) + answer
+			case request.URL.Path == "/together":
+				together <- struct{}{}
+				for len(together) < idle {
+					time.Sleep(time.Millisecond)
+				}
 			}
 			if _, err := io.WriteString(conn, answer); err != nil {
 				return
 			}
 		}
 	})
-	status, _, err := sendTo(t.Context(), u, "/first", "a")
+	var group sync.WaitGroup
+	for i := range idle { // leaves as many idle connections
+		group.Go(func() {
+			_, _, err := sendTo(t.Context(), u, "/together", fmt.Sprintf("together-%d", i))
+			assert.Check(t, err)
+		})
+	}
+	group.Wait()
+	status, _, err := send(t.Context(), u, "a")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
-	for i := range others {
-		_, _, err := send(t.Context(), u, fmt.Sprintf("other-%d", i))
+	for range 2 {
+		for i := range others {
+			_, _, err := send(t.Context(), u, fmt.Sprintf("other-%d", i))
+			assert.NilError(t, err)
+		}
+		status, body, err := send(t.Context(), u, "a")
 		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, "ran")
 	}
-	status, body, err := send(t.Context(), u, "a")
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusOK)
-	assert.Equal(t, body, "ran")
 }
 
 // Guards against a late copy of an answer that the next caller gets, in the own interface: an upstream that echoes the
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -64,9 +64,10 @@
 
 // Upstream is the HTTP client of one upstream. It is safe for concurrent use.
 type Upstream struct {
-	opts  Options
-	pool  pool
-	crash crashDetector
+	opts       Options
+	pool       pool
+	crash      crashDetector
+	rejections rejectionLog
 
 	drainingByResponse atomic.Bool
 	drainingByHealth   atomic.Bool
