--- a/internal/upstream/rejection.go
+++ b/internal/upstream/rejection.go
@@ -2,8 +2,8 @@
 
 import "sync"
 
-// maxRejections is the number of rejected calls that are remembered. A request is sent again within seconds, in which an
-// upstream rejects far fewer calls.
+// maxRejections is the number of rejected calls that are remembered. A request is sent again within seconds, in which
+// an upstream rejects far fewer calls.
 const maxRejections = 1024
 
 // rejectionLog holds the IDs of the latest calls that the upstream rejected. Their requests may be sent to it again,
