--- a/internal/roster/instance.go
+++ b/internal/roster/instance.go
@@ -23,8 +23,8 @@
 }
 
 // writtenBefore reports whether the upstream wrote the state i before the state other of the same record. The registry
-// may complete a write long after it was sent, so that the revisions don't always tell. It returns false when the order
-// is unknown, which includes states of different services: they don't come from the same upstream.
+// may complete a write long after it was sent, so that the revisions don't show the order. It returns false when the
+// order is unknown, which includes states of different services: they don't come from the same upstream.
 func (i *instance) writtenBefore(other *instance) bool {
 	a, b := i.decoded, other.decoded
 	switch {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -53,7 +53,7 @@
 	server  *grpc.Server
 }
 
-// kill stops the node at once. It doesn't tell other nodes.
+// kill stops the node at once, without a message to other nodes.
 func (n *node) kill() {
 	n.server.Stop()
 	n.Stop()
--- a/internal/upstream/rejection.go
+++ b/internal/upstream/rejection.go
@@ -7,8 +7,8 @@
 const maxRejections = 1024
 
 // rejectionLog holds the IDs of the latest calls that the upstream rejected. Their requests may be sent to it again,
-// while it may write an earlier rejection once more on a kept connection. The ID can't tell that copy from a rejection
-// of the new call, so that such a call needs a new connection. It is safe for concurrent use.
+// while it may write an earlier rejection once more on a kept connection. That copy has the ID of the new call, so that
+// such a call needs a new connection. It is safe for concurrent use.
 type rejectionLog struct {
 	mu  sync.Mutex
 	ids map[string]bool
