--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -136,6 +136,7 @@
 		entry.kept = true
 		entry.inherit(previous)
 	case entry.isLateWriteAfter(previous):
+		// Only the revision changes, so that the record isn't requested again.
 		r.logLateWrite(entry, previous)
 		kept := *previous
 		kept.record.Revision, kept.kept = record.Revision, true
--- a/internal/roster/window.go
+++ b/internal/roster/window.go
@@ -77,8 +77,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	needed := len(hostsBefore(order, own, followedPositions))
-	expected, size := 0, 0
-	live := 0
+	// expected counts the hosts that aren't lost, live those that deliver frames. size is the smallest window with enough
+	// of the latter, or 0.
+	expected, live, size := 0, 0, 0
 	for i, host := range order[:min(w.size, len(order))] {
 		s := w.states[host]
 		if i == own || (s != nil && s.isLost(now)) {
