drain, ingress, relay: answer all requests before a stop ends

What callers saw: a request that a stopping daemon took, or passed on, late in its grace time ended with a closed connection, or with 502 at another daemon, while its upstream went on running it; also requests that must not be repeated.

Cause: new requests were refused from 2.5 s after SIGTERM on, but no other part knew when the process ends. A request kept the whole time of its caller, and was sent to an upstream whenever its turn came: after a wait for a slot, as a further attempt, or once its body was complete. At the end of the grace time all connections were closed.

Fix: drain.Limit holds the time by which a stopping daemon answers. All deadlines are shortened to it, so that owners refuse what doesn't fit and upstreams get the time that is left. The owner awaits the response of an upstream for 30 ms after the deadline, since upstreams respond then.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"cicadacross"
 	"cicadacross/internal/admission"
 	_ "cicadacross/internal/balance" // registers the balancers
+	"cicadacross/internal/drain"
 	"cicadacross/internal/failure"
 	"cicadacross/internal/fleet"
 	"cicadacross/internal/idempotency"
@@ -41,6 +42,9 @@
 // connection must not delay the shutdown further.
 const peerDrainTimeout = 5 * time.Second
 
+// responseFlushTime is the time at the end of a shutdown that is reserved for writing the last responses to callers.
+const responseFlushTime = 200 * time.Millisecond
+
 // initialSlots is the number of slots until the first configuration defines that of the target.
 const initialSlots = 1
 
@@ -76,6 +80,7 @@
 	relayClient     *relay.Client
 	pauseDetector   *relay.PauseDetector
 	lagMeter        *timer.LagMeter
+	drainLimit      *drain.Limit
 	ingress         *ingress.Server
 	operatorServer  *operatorServer
 	serving         sync.WaitGroup
@@ -95,6 +100,7 @@
 		d.timers = timer.System{}
 	}
 	d.log = opts.Logger.WithValues("host", settings.Host)
+	d.drainLimit = drain.NewLimit(d.timers)
 	buildControl := d.buildFleetControl
 	if settings.UsesRegistry() {
 		buildControl = d.buildRegistryControl
@@ -205,7 +211,7 @@
 		Host: d.settings.Host, Configuration: d.fleet.Configuration, IsLeaving: d.fleet.IsLeaving,
 		Settled: d.fleet.Settled, KeyOwner: idempotency.Owner, Admission: d.admission, KeyStore: d.keyStore,
 		Quarantine: d.quarantine, Upstream: d.upstream, Timers: d.timers, Decisions: recorder, PauseDetector: d.pauseDetector,
-		Classify: classify,
+		Classify: classify, DrainLimit: d.drainLimit,
 	})
 	d.relayClient = relay.NewClient(relay.ClientOptions{
 		Pool: d.pool, Host: d.settings.Host, Local: d.owner, Timers: d.timers,
@@ -218,6 +224,7 @@
 			AvailabilityZone: d.settings.AvailabilityZone, Timers: d.timers,
 		}),
 		Decisions: recorder, Timers: d.timers, PauseDetector: d.pauseDetector, Logger: d.log.WithName("ingress"),
+		DrainLimit: d.drainLimit,
 	})
 	if err != nil {
 		return wrapError("build", KindPlugin, err, "ingress")
@@ -400,14 +407,18 @@
 func (d *Daemon) InProgress() int { return d.owner.InProgress() }
 
 // Shutdown stops the daemon gracefully: it announces to the fleet that this host is draining, refuses new requests with
-// the outcome not-run, waits until no request is in progress, and closes the daemon. The wait ends early when ctx ends
-// or at the drain limit; Shutdown then returns an error.
+// the outcome not-run, waits until no request is in progress, and closes the daemon. Requests that would still be in
+// progress responseFlushTime before ctx or the shutdown timeout ends are refused or broken off, with a response. The
+// wait ends early when ctx or the timeout ends; Shutdown then returns an error.
 func (d *Daemon) Shutdown(ctx context.Context) error {
-	if limit := d.drainLimit(); limit > 0 {
+	if limit := d.shutdownTimeout(); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		d.drainLimit.Begin(deadline.Add(-responseFlushTime))
+	}
 	d.log.Info("daemon is draining", "in_progress", d.owner.InProgress())
 	d.controlPlane.SetDraining(true)
 	if d.readiness != nil {
@@ -468,6 +479,7 @@
 	d.upstream.Close()
 	d.pauseDetector.Stop()
 	d.lagMeter.Stop()
+	d.drainLimit.Close()
 	d.pool.Close()
 	d.serving.Wait()
 }
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -146,7 +146,8 @@
 		Host: d.settings.Host, Configuration: d.controlPlane.Configuration, IsLeaving: d.controlPlane.IsLeaving,
 		Admission: d.admission, Quarantine: d.quarantine, Upstream: d.upstream, Timers: d.timers, Decisions: recorder,
 		PauseDetector: d.pauseDetector, Classify: classify, Dialect: dialect,
-		Bodies: admission.NewLink(admission.LinkOptions{Mbps: d.settings.LinkMbps, Timers: d.timers}),
+		Bodies:     admission.NewLink(admission.LinkOptions{Mbps: d.settings.LinkMbps, Timers: d.timers}),
+		DrainLimit: d.drainLimit,
 	})
 	d.relayClient = relay.NewClient(relay.ClientOptions{
 		Pool: d.pool, Host: d.settings.Host, Local: d.owner, Timers: d.timers,
@@ -159,7 +160,7 @@
 		Host: d.settings.Host, Configuration: d.controlPlane.Configuration, IsLeaving: d.controlPlane.IsLeaving,
 		Quarantine: d.quarantine, Client: d.relayClient, Balancer: balancer, Placer: placer,
 		Decisions: recorder, Timers: d.timers, PauseDetector: d.pauseDetector, Logger: d.log.WithName("ingress"),
-		Dialect: dialect, Service: d.settings.Service, Lag: d.lagMeter.Lag,
+		Dialect: dialect, Service: d.settings.Service, Lag: d.lagMeter.Lag, DrainLimit: d.drainLimit,
 		AcceptedConnections: metrics.GetOrRegisterCounter("callers.connections", d.metrics),
 		Latency:             metrics.GetOrRegisterTimer("requests.latency_ns", d.metrics),
 		RetryBudget: ingress.NewFleetRetryBudget(ingress.FleetRetryBudgetOptions{
@@ -185,8 +186,8 @@
 	return d.admission.Load()
 }
 
-// drainLimit returns the time limit of a shutdown; 0 means no limit.
-func (d *Daemon) drainLimit() time.Duration {
+// shutdownTimeout returns the time limit of a shutdown; 0 means no limit.
+func (d *Daemon) shutdownTimeout() time.Duration {
 	if d.readiness != nil {
 		return max(d.settings.Grace-shutdownMargin, minGrace/2)
 	}
--- a/internal/ingress/dialect.go
+++ b/internal/ingress/dialect.go
@@ -40,7 +40,7 @@
 	case !r.ProtoAtLeast(1, 1) || r.Method == http.MethodConnect || hasConflictingLengths(r):
 		return req, badRequest("form", "the request is not proper HTTP/1.1")
 	case s.draining.Load():
-		return req, unavailable("stopping", "the daemon is stopping")
+		return req, unavailable(reasonStopping, "the daemon is stopping")
 	case req.configuration == nil:
 		return req, unavailable("no_configuration", "the daemon has no configuration yet")
 	}
@@ -187,7 +187,7 @@
 		refusal.retryAfter = s.retryDelay(req, refusal.retryAfter)
 	}
 	if req.body == nil {
-		discardBody(w, req.http)
+		s.discardBody(w, req.http)
 	}
 	s.opts.Dialect.WriteRefusal(w, cicadacross.RefusalResponse{
 		RequestID: req.id, Status: refusal.status, Outcome: refusal.outcome, Reason: refusal.reason, Text: refusal.text,
@@ -203,11 +203,12 @@
 )
 
 // discardBody reads the body of a request that is refused before its body was read.
-func discardBody(w http.ResponseWriter, r *http.Request) {
+func (s *Server) discardBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 {
 		return
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+	end := s.opts.DrainLimit.Apply(s.opts.Timers.Now().Add(discardTimeout))
+	if err := http.NewResponseController(w).SetReadDeadline(end); err != nil {
 		return
 	}
 	// The refusal is the same whether or not the caller sends its whole body.
@@ -222,7 +223,7 @@
 	if slack := targetTimeLeft - time.Duration(processingShare*float64(req.rank.TargetTime())); slack > 0 {
 		return max(minRetryAfter, min(ownerDelay, slack))
 	}
-	return max(minRetryAfter, ownerDelay, s.remaining(req)/3)
+	return max(minRetryAfter, ownerDelay, req.deadline.Sub(s.opts.Timers.Now())/3)
 }
 
 // canRetryInDialect reports whether another attempt is allowed with a dialect.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -88,8 +88,12 @@
 func (s *Server) readBody(w http.ResponseWriter, req *request) *refusalResponse {
 	if req.http.ContentLength != 0 {
 		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(time.Now().Add(s.remaining(req)))
+		limitRead := func() { _ = control.SetReadDeadline(time.Now().Add(s.remaining(req))) }
+		limitRead()
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+		// A shutdown that begins during the read leaves less time. The connection is then closed after the response, so that
+		// a deadline which is set late affects no other request.
+		defer context.AfterFunc(s.opts.DrainLimit.Begun(), limitRead)()
 	}
 	body, err := readBodyStart(req.http, s.replaySizeLimit())
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
@@ -113,8 +117,11 @@
 	return nil
 }
 
-// remaining returns the time until the deadline of the request; it is negative afterwards.
-func (s *Server) remaining(req *request) time.Duration { return req.deadline.Sub(s.opts.Timers.Now()) }
+// remaining returns the time until the deadline of the request or, when that is earlier, until the time limit of a
+// shutdown; it is negative afterwards.
+func (s *Server) remaining(req *request) time.Duration {
+	return s.opts.DrainLimit.Apply(req.deadline).Sub(s.opts.Timers.Now())
+}
 
 // forward makes the attempts and writes the response of the upstream. When there is none, it returns the refusal that
 // the caller must get instead. An error means that the response was aborted.
@@ -484,6 +491,9 @@
 		}
 		return unavailable(reasonSilent, "the owner did not say that the request arrived")
 	}
+	if a.server.opts.DrainLimit.Reached().Err() != nil {
+		return unknownOutcome(http.StatusBadGateway, reasonStopping, "the daemon stopped before the response arrived")
+	}
 	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return unknownOutcome(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
 	}
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -16,6 +16,9 @@
 // reasonSilent means that the owner didn't acknowledge the request in time, and so doesn't run it.
 const reasonSilent = "silent"
 
+// reasonStopping means that the daemon is shutting down.
+const reasonStopping = "stopping"
+
 // reasonFailed means that the upstream responded with a failure, and that the budget allows another attempt.
 const reasonFailed = "failed"
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -63,7 +63,7 @@
 		return req, refusal
 	}
 	if s.draining.Load() {
-		return req, unavailable("stopping", "the daemon is stopping")
+		return req, unavailable(reasonStopping, "the daemon is stopping")
 	}
 	if req.configuration == nil {
 		return req, unavailable("no_configuration", "the daemon has no configuration yet")
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"cicadacross"
+	"cicadacross/internal/drain"
 	"cicadacross/internal/relay"
 )
 
@@ -76,6 +77,8 @@
 	Latency metrics.Timer
 	// Lag returns by how much the process lags behind for lack of CPU time; nil means never.
 	Lag func() time.Duration
+	// DrainLimit limits the time of requests once the daemon stops; nil means no limit.
+	DrainLimit *drain.Limit
 	// Logger logs events of the server. The zero value discards them.
 	Logger logr.Logger
 }
@@ -123,6 +126,7 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          newErrorLog(opts.Logger),
 		ConnContext:       withConn,
+		BaseContext:       func(net.Listener) context.Context { return opts.DrainLimit.Reached() },
 	}
 	return s, nil
 }
--- a/internal/relay/execution.go
+++ b/internal/relay/execution.go
@@ -46,10 +46,15 @@
 	if refused := e.check(); refused != nil {
 		return e.refuseBeforeKeyLookup(refused)
 	}
-	ctx, cancel := context.WithTimeout(e.session.Context(), e.remaining())
+	timeout := e.deadline.Sub(e.owner.opts.Timers.Now())
+	ctx, cancel := context.WithTimeout(e.session.Context(), timeout+callGracePeriod)
 	defer cancel()
+	defer context.AfterFunc(e.owner.opts.DrainLimit.Reached(), cancel)()
+	waitCtx, cancelWait := context.WithTimeout(ctx, timeout)
+	defer cancelWait()
+	defer context.AfterFunc(e.owner.opts.DrainLimit.LastResponse(), cancelWait)()
 	if !e.head.GetRepeatable() && e.owner.opts.KeyStore != nil {
-		answered, err := e.claimKey(ctx)
+		answered, err := e.claimKey(waitCtx)
 		if answered || err != nil {
 			return err
 		}
@@ -57,14 +62,26 @@
 		// another.
 		defer e.key.Unknown()
 	}
-	if admitted, err := e.admit(ctx, cancel); !admitted {
+	if admitted, err := e.admit(waitCtx, cancel); !admitted {
 		return err
 	}
 	defer e.release(false)
 	return e.execute(ctx)
 }
 
-func (e *execution) remaining() time.Duration { return e.deadline.Sub(e.owner.opts.Timers.Now()) }
+// callGracePeriod is how long after the deadline the response of the upstream is awaited. An upstream stops at the
+// deadline that it received, and responds then.
+const callGracePeriod = 30 * time.Millisecond
+
+// remaining returns the time until the deadline or, when that is earlier, until the time limit of a shutdown.
+func (e *execution) remaining() time.Duration {
+	return e.owner.opts.DrainLimit.Apply(e.deadline).Sub(e.owner.opts.Timers.Now())
+}
+
+// exceedsDrainLimit reports whether the daemon is stopping and leaves the upstream too little time to respond.
+func (e *execution) exceedsDrainLimit() bool {
+	return e.owner.opts.DrainLimit.Shortens(e.deadline) && e.remaining() <= e.owner.serviceTime(e.head.GetKind())
+}
 
 // check refuses requests that this owner must not run, regardless of its load. It returns nil for the others.
 func (e *execution) check() *peerpb.Refusal {
@@ -99,7 +116,7 @@
 	switch {
 	case e.head.GetHost() != o.opts.Host:
 		return refusal(RefusalWrongTarget, "the target is not on this host")
-	case o.drainCalled():
+	case o.drainCalled(), e.exceedsDrainLimit():
 		return refusal(RefusalDraining, "the daemon is stopping")
 	case known && own.Name() == e.head.GetTarget() && o.RefusesNewRequests():
 		return refusal(RefusalDraining, "the target takes no new work")
@@ -169,7 +186,7 @@
 		RequestID:  e.head.GetRequestId(),
 		Route:      e.head.GetKind(),
 		Rank:       e.rank(),
-		Deadline:   e.deadline,
+		Deadline:   o.opts.DrainLimit.Apply(e.deadline),
 		Repeatable: e.head.GetRepeatable(),
 		OnTimeOnly: e.head.GetOnTimeOnly(),
 	}
@@ -222,6 +239,9 @@
 // refusal.
 func (e *execution) refuseWithError(stage Stage, err error) error {
 	classification := e.owner.classify(stage, err)
+	if classification.Kind == RefusalCanceled {
+		classification.Kind = e.cancelReason()
+	}
 	if classification.Unknown {
 		return e.fail(classification.Kind, err.Error())
 	}
@@ -231,6 +251,15 @@
 	return e.releaseAndRefuse(refused, nil)
 }
 
+// cancelReason returns the kind of refusal of a request whose wait was canceled: by the sender, or because the daemon
+// stops, in which case another target may run it.
+func (e *execution) cancelReason() string {
+	if e.owner.opts.DrainLimit.LastResponse().Err() != nil {
+		return RefusalDraining
+	}
+	return RefusalCanceled
+}
+
 // releaseAndRefuse releases the key and the slot, if taken, and refuses the request. When refused is nil, it sends
 // nothing and returns err.
 func (e *execution) releaseAndRefuse(refused *peerpb.Refusal, err error) error {
@@ -330,6 +359,8 @@
 // may be called.
 func (e *execution) checkBeforeCall(ctx context.Context) *peerpb.Refusal {
 	switch {
+	case e.exceedsDrainLimit():
+		return refusal(RefusalDraining, "the daemon stops before the upstream could respond")
 	case e.remaining() <= 0:
 		return refusal(RefusalDeadline, "the time ended before the call")
 	case ctx.Err() != nil:
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -35,7 +35,7 @@
 		return true, nil
 	case <-ctx.Done():
 		e.cancelReservation()
-		return false, e.releaseAndRefuse(refusal(RefusalCanceled, "the request ended while it waited for the link"), nil)
+		return false, e.releaseAndRefuse(refusal(e.cancelReason(), "the request ended while it waited for the link"), nil)
 	}
 }
 
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"cicadacross"
+	"cicadacross/internal/drain"
 	"cicadacross/internal/peerpb"
 	"cicadacross/internal/upstream"
 )
@@ -33,8 +34,10 @@
 	// immediately.
 	Bodies cicadacross.BodyScheduler
 	// KeyStore may be nil; requests that must not repeat then need no key, and a caller doesn't retry them by itself.
-	KeyStore      cicadacross.IdempotencyStore
-	Quarantine    cicadacross.Quarantine
+	KeyStore   cicadacross.IdempotencyStore
+	Quarantine cicadacross.Quarantine
+	// DrainLimit limits the time of requests once the daemon stops; nil means no limit.
+	DrainLimit    *drain.Limit
 	Upstream      *upstream.Upstream
 	Timers        cicadacross.Timers
 	Decisions     cicadacross.DecisionRecorder
@@ -164,6 +167,14 @@
 	return c != nil && c.Leaving(o.opts.Host)
 }
 
+// serviceTime returns the estimated time that the upstream takes to run a request of the route; 0 means unknown.
+func (o *Owner) serviceTime(route string) time.Duration {
+	if e, ok := o.opts.Admission.(cicadacross.Estimator); ok {
+		return e.Estimate(route).ServiceTime
+	}
+	return 0
+}
+
 // load returns the load of the target for the final message of a request.
 func (o *Owner) load(route string) *peerpb.Load {
 	l := o.opts.Admission.Load()
