ingress: only requests in progress fail a shutdown

What operators saw: 'requests are still in progress' and exit status 1 after a planned stop in which all requests had a response.

Cause: the HTTP server waits 0.5 s before it closes a connection whose request was refused before its body was complete, and up to 5 s for a connection that a caller opened without a request. When the time limit ends meanwhile, its error was taken for a request in progress.

Fix: the ingress counts the requests without a complete response itself.

--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -48,7 +48,12 @@
 	// soakApplyLimit is the shortest time limit that the platform sets for applying a change.
 	soakApplyLimit = 2 * time.Second
 	soakTimeout    = 1500 * time.Millisecond
-	pollInterval   = 100 * time.Millisecond
+	routeTimeout   = 2 * time.Second
+	// slowTimeout is the time that callers give slow requests. It exceeds the grace time of the daemons, while each slow
+	// request takes maxSlowPart for its body and as long to run at most.
+	slowTimeout  = 8 * time.Second
+	maxSlowPart  = 2500 * time.Millisecond
+	pollInterval = 100 * time.Millisecond
 )
 
 // soak is one run of one seed.
@@ -125,6 +130,7 @@
 		for caller := range soakCallers {
 			wg.Go(func() { h.sendRequests(ctx, caller) })
 		}
+		wg.Go(func() { h.sendSlowRequests(ctx) })
 	}
 	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
 		s.injectRandomFault()
@@ -170,14 +176,15 @@
 // version before that is removed.
 func (s *soak) publish() {
 	v := s.version.Add(1)
-	rule := func(name, kind, prefix string) string {
+	rule := func(name, kind, prefix string, timeout time.Duration) string {
 		return fmt.Sprintf(`{"name":%q,"kind":%q,"aimS":1,"priority":1,"match":{"prefix":%q},`+
-			`"action":{"service":"desk","timeoutS":2,"maxAttempts":2}}`, name, kind, prefix)
+			`"action":{"service":"desk","timeoutS":%g,"maxAttempts":2}}`, name, kind, prefix, timeout.Seconds())
 	}
 	rules := []string{
-		rule("look", "safe", "/look/"), rule("pay", "unsafe", "/pay/"), rule("load", "upload", "/load/"),
-		rule(fmt.Sprint("v", v), "safe", fmt.Sprintf("/v%d/", v)),
-		rule(fmt.Sprint("v", v-1), "safe", fmt.Sprintf("/v%d/", v-1)),
+		rule("look", "safe", "/look/", routeTimeout), rule("pay", "unsafe", "/pay/", routeTimeout),
+		rule("load", "upload", "/load/", routeTimeout), rule("slow", "unsafe", "/slow/", slowTimeout),
+		rule(fmt.Sprint("v", v), "safe", fmt.Sprintf("/v%d/", v), routeTimeout),
+		rule(fmt.Sprint("v", v-1), "safe", fmt.Sprintf("/v%d/", v-1), routeTimeout),
 	}
 	s.store.Put("op/config", fmt.Sprintf(`{"version":%d,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576},`+
 		`"listeners":[{"host":"shop.example","rules":[%s]}],"clusters":[{"name":"desk","maxConnections":50}]}`, v,
@@ -385,6 +392,23 @@
 	}
 }
 
+// sendSlowRequests sends requests that run for long, and some whose body is complete late, until ctx is done.
+func (h *soakHost) sendSlowRequests(ctx context.Context) {
+	random := rand.New(rand.NewPCG(h.soak.seed, uint64(h.n))) // #nosec G115
+	for i := 0; ctx.Err() == nil; i++ {
+		path := fmt.Sprintf("/slow/run=%dms", random.Int64N(maxSlowPart.Milliseconds()))
+		body := &slowBody{pieces: 1}
+		if random.IntN(2) == 0 {
+			body.pause = time.Duration(random.Int64N(int64(maxSlowPart)))
+		}
+		r := h.sendBody(path, fmt.Sprintf("%d-slow-%d", h.n, i), body, pieceSize, slowTimeout)
+		h.soak.mu.Lock()
+		h.soak.sent = append(h.soak.sent, r)
+		h.soak.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // maxSoakResponse is the size of a response above which a caller leaves, in bytes; only endless ones have more.
 const maxSoakResponse = 256 << 10
 
@@ -392,23 +416,33 @@
 
 // soakClient reuses connections until the daemon closes them.
 var soakClient = &http.Client{
-	Transport: &http.Transport{MaxIdleConnsPerHost: soakCallers}, Timeout: soakTimeout + 2*time.Second,
+	Transport: &http.Transport{MaxIdleConnsPerHost: soakCallers}, Timeout: slowTimeout + 2*time.Second,
 }
 
 func (h *soakHost) send(path, id string, body []byte, repeatable bool) soakResult {
-	result := soakResult{id: id, path: path, repeatable: repeatable}
+	result := h.sendBody(path, id, bytes.NewReader(body), len(body), soakTimeout)
+	result.repeatable = repeatable
+	return result
+}
+
+// sendBody sends a request that must not be repeated.
+func (h *soakHost) sendBody(path, id string, body io.Reader, size int, timeout time.Duration) soakResult {
+	result := soakResult{id: id, path: path}
 	before := h.disturbanceCount()
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost,
-		fmt.Sprintf("http://%s:%d%s", h.ip(), registeredCallerPort, path), bytes.NewReader(body))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+2*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		fmt.Sprintf("http://%s:%d%s", h.ip(), registeredCallerPort, path), body)
 	if err != nil {
 		result.err = err
 		return result
 	}
+	r.ContentLength = int64(size)
 	// With GetBody, the client would send the request again by itself when a reused connection has been closed.
 	r.GetBody = nil
 	r.Host = "shop.example"
 	r.Header["X-Attempt-Id"] = []string{id}
-	r.Header["X-Deadline-Remaining"] = []string{fmt.Sprint(soakTimeout.Milliseconds())}
+	r.Header["X-Deadline-Remaining"] = []string{fmt.Sprint(timeout.Milliseconds())}
 	response, err := soakClient.Do(r)
 	if err == nil {
 		var data []byte
@@ -418,8 +452,8 @@
 			err = errEndless
 		}
 		result.status, result.body = response.StatusCode, string(data)
-		if err == nil && result.status == http.StatusOK && result.body != fmt.Sprintf("%s %d", path, len(body)) {
-			h.soak.t.Errorf("%s: response %q to %s with %d bytes", id, result.body, path, len(body))
+		if err == nil && result.status == http.StatusOK && result.body != fmt.Sprintf("%s %d", path, size) {
+			h.soak.t.Errorf("%s: response %q to %s with %d bytes", id, result.body, path, size)
 		}
 	}
 	result.err = err
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -33,6 +33,8 @@
 
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
 	arrived := s.opts.Timers.Now()
 	if s.opts.PauseDetector != nil {
 		// The request may have waited unread while the process was paused.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -90,7 +90,9 @@
 	budget      RetryBudget
 	unavailable unavailableHosts
 	draining    atomic.Bool
-	listener    atomic.Pointer[recordingListener]
+	// inProgress is the number of requests that have no complete response yet.
+	inProgress atomic.Int64
+	listener   atomic.Pointer[recordingListener]
 	// closeAfterResponse is set when each connection is closed after its next response.
 	closeAfterResponse atomic.Bool
 	callerTimeouts     longestTimeouts
@@ -206,7 +208,9 @@
 		case <-ctx.Done():
 		}
 	}
-	if err := s.http.Shutdown(ctx); err != nil {
+	// The HTTP server also waits for connections that callers opened without a request, and half a second for those whose
+	// request was refused before its body was complete.
+	if err := s.http.Shutdown(ctx); err != nil && s.inProgress.Load() > 0 {
 		return wrapError("shutdown", KindDrain, err, "requests are still in progress")
 	}
 	return nil
