ingress: keep a connection usable after an early rejection

What callers saw: after an upload that an upstream rejected before it was completely sent, each further request on the kept connection got 502 or 503 at once and was offered to no upstream.

Cause: uploader.stop set a read deadline in the past even when the body had been read completely. The HTTP server's own read then failed, which canceled the context of the connection, not of one request, and the connection was kept.

Fix: a body that is completely read needs no deadline, since the end of the stream stops its sender. Otherwise the connection is closed after the response.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -118,14 +118,20 @@
 	}
 }
 
-// stop waits for the end of run. It interrupts a wait for the caller's bytes with a read deadline in the past, after
-// which the HTTP server doesn't reuse the connection.
+// stop waits for the end of run, which the end of the stream causes unless run waits for the caller's bytes. It
+// interrupts that wait with a read deadline in the past. The HTTP server then cancels the context of the connection,
+// which is therefore closed after the response.
 func (u *uploader) stop(w http.ResponseWriter) {
+	if u.body.complete {
+		<-u.done
+		return
+	}
 	select {
 	case <-u.done:
 		return
 	default:
 	}
+	w.Header()["Connection"] = []string{"close"}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 	<-u.done
 }
