relay, platform: an upstream can't remove its signature

What callers saw: a success without the upstream's signature, when the upstream listed it in its Connection header.

Cause: headers that the Connection header lists concern one connection and were not forwarded, whatever their name.

Fix: the dialect names the response headers that are forwarded in any case.

--- a/dialect.go
+++ b/dialect.go
@@ -62,6 +62,9 @@
 	SetCallHeaders(header http.Header, opts CallOptions)
 	// ReadResponse parses the metadata of an upstream's response to the call with the ID.
 	ReadResponse(id string, status int, header http.Header) ResponseInfo
+	// EndToEndHeaders returns the canonical names of the response headers that callers need even when the upstream lists
+	// them in its Connection header. The slice must not be changed.
+	EndToEndHeaders() []string
 	// RemoveInternalHeaders removes the response headers that are not meant for callers.
 	RemoveInternalHeaders(header http.Header)
 	// WriteRefusal writes the response to the caller.
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -24,9 +24,13 @@
 	"Upgrade":             true,
 }
 
-// EncodeHeader returns the headers to forward, without the hop-by-hop headers.
-func EncodeHeader(header http.Header) []*peerpb.Header {
+// EncodeHeader returns the headers to forward, without the hop-by-hop headers. The names in endToEnd are forwarded even
+// when the Connection header lists them.
+func EncodeHeader(header http.Header, endToEnd ...string) []*peerpb.Header {
 	named := connectionTokens(header)
+	for _, name := range endToEnd {
+		delete(named, name)
+	}
 	list := make([]*peerpb.Header, 0, len(header))
 	backing := make([]peerpb.Header, len(header))
 	for name, values := range header {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -35,7 +35,7 @@
 	t := &responseTransfer{execution: e, response: response}
 	t.head = &peerpb.ReplyHead{
 		Status:        uint32(response.Status), // #nosec G115
-		Headers:       EncodeHeader(response.Header),
+		Headers:       EncodeHeader(response.Header, e.endToEndHeaders()...),
 		ContentLength: response.ContentLength,
 	}
 	for {
@@ -55,6 +55,14 @@
 	}
 }
 
+// endToEndHeaders returns the names of the response headers that an upstream can't keep from the caller.
+func (e *execution) endToEndHeaders() []string {
+	if e.owner.opts.Dialect == nil {
+		return nil
+	}
+	return e.owner.opts.Dialect.EndToEndHeaders()
+}
+
 // responseTransfer is the state of forwarding one response.
 type responseTransfer struct {
 	execution       *execution
