quarantine: a report alone doesn't make a second crash count

What callers saw: when two upstreams that were running the same page ended at nearly the same time, every request for it was refused as quarantined for 10 minutes.

Cause: the page became a suspect on the second upstream by the announcement of the first crash, while it was running there. The second crash found one suspect in progress.

Fix: only a request that was a suspect when it began to run is identified by a second crash.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -3,7 +3,8 @@
 // Requests are identified by a fingerprint, such as Fingerprint returns. A crash of an upstream makes all requests in
 // progress on it suspects. A suspect runs only while no other suspect runs on the same upstream, so that a second crash
 // identifies the request that caused it. That request is quarantined: it is refused for the expiry time. A suspect that
-// completes without a crash is cleared, that is, no longer a suspect.
+// completes without a crash is cleared, that is, no longer a suspect. A second crash identifies a request only if it was a
+// suspect when it began to run.
 //
 // # How many targets one fingerprint can take down
 //
@@ -89,9 +90,21 @@
 // generation counts the requests in progress between two crashes, by fingerprint.
 type generation struct {
 	counts map[uint64]int
+	// confined counts those requests among them that were suspects when they entered, so that no other suspect could
+	// enter besides them.
+	confined map[uint64]int
 }
 
-func newGeneration() *generation { return &generation{counts: make(map[uint64]int)} }
+func newGeneration() *generation {
+	return &generation{counts: make(map[uint64]int), confined: make(map[uint64]int)}
+}
+
+// add adds n, which is 1 or -1, to the count of the fingerprint, and drops counts of 0.
+func add(counts map[uint64]int, fingerprint uint64, n int) {
+	if counts[fingerprint] += n; counts[fingerprint] <= 0 {
+		delete(counts, fingerprint)
+	}
+}
 
 // entry is one suspect or quarantined fingerprint.
 type entry struct {
@@ -159,7 +172,10 @@
 	if e != nil && t.suspectInProgress(now) {
 		return nil, t.requestEnded, nil
 	}
-	t.current.counts[fingerprint]++
+	add(t.current.counts, fingerprint, 1)
+	if e != nil {
+		add(t.current.confined, fingerprint, 1)
+	}
 	r := &activeRequest{tracker: t, fingerprint: fingerprint, suspect: e != nil, startedAt: now, generation: t.current}
 	return r.end, nil, nil
 }
@@ -207,9 +223,9 @@
 		return
 	}
 	r.ended = true
-	counts := r.generation.counts
-	if counts[r.fingerprint]--; counts[r.fingerprint] <= 0 {
-		delete(counts, r.fingerprint)
+	add(r.generation.counts, r.fingerprint, -1)
+	if r.suspect {
+		add(r.generation.confined, r.fingerprint, -1)
 	}
 	if r.generation != t.current {
 		return
@@ -258,8 +274,10 @@
 	t.requestEnded = make(chan struct{})
 }
 
-// RecordCrash implements cicadacross.Quarantine. When exactly one suspect was in progress, it is quarantined. Requests
-// in progress that weren't suspects become suspects, since each of them may have caused the crash.
+// RecordCrash implements cicadacross.Quarantine. When exactly one suspect was in progress, and was one when it entered,
+// it is quarantined. One that became a suspect while it was in progress, by a report from another daemon, stays a
+// suspect: upstreams that run the same popular page may crash at the same time for another reason. Requests in progress
+// that weren't suspects become suspects, since each of them may have caused the crash.
 func (t *Tracker) RecordCrash() {
 	t.recordCrash()
 	if t.opts.OnCrash != nil {
@@ -271,19 +289,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Timers.Now()
-	inProgress := t.current.counts
+	inProgress, confined := t.current.counts, t.current.confined
 	t.current = newGeneration()
 	var suspects []*entry
 	var others []uint64
+	wasConfined := false
 	for fingerprint := range inProgress {
 		if e := t.entry(fingerprint, now); e != nil {
 			e.lastCrash, e.crashHost = now, t.opts.Host
 			suspects = append(suspects, e)
+			wasConfined = wasConfined || confined[fingerprint] > 0
 			continue
 		}
 		others = append(others, fingerprint)
 	}
-	if len(suspects) == 1 {
+	if len(suspects) == 1 && wasConfined {
 		suspects[0].crashes = quarantineCrashes
 	}
 	// The new suspects are added last: the entries above already have the new crash time then, so that they aren't the
