--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -480,27 +480,3 @@
 	}
 	return a.run()
 }
-
-// refusalForStreamError returns the refusal for a stream that ended without a final message.
-func (a *attempt) refusalForStreamError(err error) *refusalResponse {
-	var e *relay.Error
-	if errors.As(err, &e) && e.Kind() == relay.KindRejected {
-		return unavailable("rejected", err.Error())
-	}
-	if a.needsConfirmation {
-		if a.req.http.Context().Err() == nil {
-			a.server.unavailable.record(a.target.Host(), false)
-		}
-		return unavailable(reasonSilent, "the owner did not say that the request arrived")
-	}
-	if a.server.opts.DrainLimit.Reached().Err() != nil {
-		return unknownOutcome(http.StatusBadGateway, reasonStopping, "the daemon stopped before the response arrived")
-	}
-	if errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
-		return unknownOutcome(http.StatusGatewayTimeout, relay.FailureTimeout, "no answer came in time")
-	}
-	if a.ctx.Err() == nil {
-		a.server.unavailable.record(a.target.Host(), false)
-	}
-	return unknownOutcome(http.StatusBadGateway, relay.FailureBroken, err.Error())
-}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -3,8 +3,8 @@
 // Requests are identified by a fingerprint, such as Fingerprint returns. A crash of an upstream makes all requests in
 // progress on it suspects. A suspect runs only while no other suspect runs on the same upstream, so that a second crash
 // identifies the request that caused it. That request is quarantined: it is refused for the expiry time. A suspect that
-// completes without a crash is cleared, that is, no longer a suspect. A second crash identifies a request only if it was a
-// suspect when it began to run.
+// completes without a crash is cleared, that is, no longer a suspect. A second crash identifies a request only if it
+// was a suspect when it began to run.
 //
 // # How many targets one fingerprint can take down
 //
