roster: test silent daemons and a second wave of losses

In the trial one node could not listen ('address already in use'): outgoing connections of other nodes had taken its port. freePort now takes ports below the range of outgoing connections.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -51,6 +51,7 @@
 	// metrics holds the metrics of the node.
 	metrics metrics.Registry
 	server  *grpc.Server
+	silence *silence
 }
 
 // kill stops the node at once, without a message to other nodes.
@@ -59,6 +60,12 @@
 	n.Stop()
 }
 
+// fallSilent stops the node at once, while its connections stay open and new ones are accepted.
+func (n *node) fallSilent() {
+	n.silence.begin()
+	n.Stop()
+}
+
 // failedStreams returns the number of streams from other nodes that ended although they were still wanted.
 func (n *node) failedStreams() int64 {
 	return metrics.GetOrRegisterCounter("registry.failed_streams", n.metrics).Count()
@@ -107,24 +114,35 @@
 	d.Register(server)
 	listener, err := net.Listen("tcp", net.JoinHostPort(host, fmt.Sprint(port)))
 	assert.NilError(t, err)
-	go serve(server, listener)
+	quiet := newSilence()
+	go serve(server, silentListener{Listener: listener, silence: quiet})
 	d.Start()
 	t.Cleanup(func() {
+		quiet.release()
 		server.Stop()
 		d.Stop()
 		pool.Close()
 	})
-	return &node{Roster: d, store: store, sent: &sent.sum, metrics: values, server: server}
+	return &node{Roster: d, store: store, sent: &sent.sum, metrics: values, server: server, silence: quiet}
 }
 
 func serve(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
 
+// freePort returns a port that no other test uses on 127.0.0.1. It is below the range that the system uses for outgoing
+// connections, since those of other tests occupy ports on the addresses of the nodes.
 func freePort(t *testing.T) uint16 {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String()).Port()
+	for range 100 {
+		port := 20_000 + rand.IntN(10_000) // #nosec G404 -- no secret
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, listener.Close())
+		return uint16(port) // #nosec G115 -- below 30,000
+	}
+	t.Fatal("no free port")
+	return 0
 }
 
 func (n *node) hasVersion(version uint64, targets int) func(poll.LogT) poll.Result {
