--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -30,14 +30,14 @@
 // faulty store, which also completes writes of upstreams late; and odd records of other writers in it. The seed
 // determines the faults, but the timing of the processes differs from run to run.
 //
-//	go test ./integration -run TestSoak -soak.seeds=50 -soak.first=100
+//	go test ./integration -run TestSoak -soak.seeds=50 -soak.first=100 -soak.hosts=16
 var (
 	soakSeeds = flag.Int("soak.seeds", 2, "number of seeds of the soak")
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
+	soakHosts = flag.Int("soak.hosts", 4, "number of hosts of the soak")
 )
 
 const (
-	soakHosts   = 4
 	soakCallers = 3 // for each host
 	// faultDuration is how long faults are injected, meanFaultInterval the mean time between two faults.
 	faultDuration     = 6 * time.Second
@@ -114,7 +114,7 @@
 	}
 	t.Cleanup(s.store.Close)
 	s.publish()
-	for n := range soakHosts {
+	for n := range *soakHosts {
 		s.hosts = append(s.hosts, &soakHost{soak: s, n: n + 1})
 	}
 	s.buildNetwork()
