--- a/internal/drain/limit.go
+++ b/internal/drain/limit.go
@@ -21,43 +21,50 @@
 	once   sync.Once
 	times  atomic.Pointer[limitTimes] // nil until Begin is called
 
-	begun, lastResponse, reached                   context.Context
-	setBegun, setLastResponse, setReached, discard context.CancelFunc
-	closed                                         context.Context
+	begun, lastResponse, reached, closed event
 }
 
 // limitTimes are the times that follow from the end of a Limit.
 type limitTimes struct{ lastResponse, end time.Time }
 
+// event is a context that is canceled when the event happens.
+type event struct {
+	context.Context
+	set context.CancelFunc
+}
+
+func newEvent() event {
+	ctx, cancel := context.WithCancel(context.Background())
+	return event{Context: ctx, set: cancel}
+}
+
 // NewLimit returns a limit that hasn't begun. Close must be called.
 func NewLimit(timers cicadacross.Timers) *Limit {
-	l := &Limit{timers: timers}
-	l.begun, l.setBegun = context.WithCancel(context.Background())
-	l.lastResponse, l.setLastResponse = context.WithCancel(context.Background())
-	l.reached, l.setReached = context.WithCancel(context.Background())
-	l.closed, l.discard = context.WithCancel(context.Background())
-	return l
+	return &Limit{
+		timers: timers, begun: newEvent(), lastResponse: newEvent(), reached: newEvent(), closed: newEvent(),
+	}
 }
 
 // Begin sets the time at which requests that are still in progress are broken off. Only the first call has an effect.
 func (l *Limit) Begin(end time.Time) {
 	l.once.Do(func() {
 		l.times.Store(&limitTimes{lastResponse: end.Add(-responseMargin), end: end})
-		l.setBegun()
+		l.begun.set()
 		go l.run()
 	})
 }
 
-// Close releases the resources of the limit. Requests are not broken off.
-func (l *Limit) Close() { l.discard() }
+// Close ends the wait that Begin has started. Requests are not broken off.
+func (l *Limit) Close() { l.closed.set() }
 
+// run waits for the times of the limit, or until Close is called.
 func (l *Limit) run() {
 	times := l.times.Load()
 	if l.waitUntil(times.lastResponse) {
-		l.setLastResponse()
+		l.lastResponse.set()
 	}
 	if l.waitUntil(times.end) {
-		l.setReached()
+		l.reached.set()
 	}
 }
 
@@ -96,7 +103,7 @@
 	if l == nil {
 		return context.Background()
 	}
-	return l.begun
+	return l.begun.Context
 }
 
 // LastResponse returns a context that is canceled at the time at which upstreams must have responded, so that a request
@@ -105,7 +112,7 @@
 	if l == nil {
 		return context.Background()
 	}
-	return l.lastResponse
+	return l.lastResponse.Context
 }
 
 // Reached returns a context that is canceled at the end.
@@ -113,5 +120,5 @@
 	if l == nil {
 		return context.Background()
 	}
-	return l.reached
+	return l.reached.Context
 }
