--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -441,9 +441,6 @@
 func (d *Daemon) drainPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerDrainTimeout)
 	defer cancel()
-	if d.registryControl != nil {
-		d.registryControl.EndStreams()
-	}
 	graceful := &gracefulStop{server: d.server, done: make(chan struct{})}
 	go graceful.run()
 	select {
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -31,9 +30,6 @@
 	// linkUpdates receives the link speeds that this daemon learned from those that it follows.
 	linkUpdates chan []*peerpb.Link
 	followers   map[*follower]bool
-	// ended is closed by EndStreams.
-	ended     chan struct{}
-	endedOnce sync.Once
 }
 
 // follower is a daemon that follows this one.
@@ -56,13 +52,6 @@
 	p.departures = make(chan *follower)
 	p.linkUpdates = make(chan []*peerpb.Link)
 	p.followers = make(map[*follower]bool)
-	p.ended = make(chan struct{})
-}
-
-// EndStreams ends the streams to the daemons that follow this one, which then follow others, and refuses new ones.
-// Streams have no end of their own, and a graceful stop of the gRPC server waits for them.
-func (d *Roster) EndStreams() {
-	d.publisher.endedOnce.Do(func() { close(d.publisher.ended) })
 }
 
 // Register adds the replication service to the gRPC server of this daemon.
@@ -71,7 +60,7 @@
 }
 
 // Follow sends changes to one follower until the stream ends. The status is ResourceExhausted when the follower reads
-// too slowly, and Unavailable after EndStreams.
+// too slowly.
 func (d *Roster) Follow(
 	request *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowFrame],
 ) error {
@@ -79,8 +68,6 @@
 	addRequest := &followRequest{heldRevision: request.Held, links: request.GetLinks(), reply: make(chan *follower, 1)}
 	select {
 	case d.publisher.followRequests <- addRequest:
-	case <-d.publisher.ended:
-		return errStreamsEnded
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -95,17 +82,12 @@
 			if err := stream.Send(frame); err != nil {
 				return err
 			}
-		case <-d.publisher.ended:
-			return errStreamsEnded
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// errStreamsEnded is the status of streams after EndStreams.
-var errStreamsEnded = status.Error(codes.Unavailable, "the daemon is stopping")
-
 // remove asks the control goroutine to remove a follower. It gives up after heartbeatInterval, since the control
 // goroutine may have stopped.
 func (p *publisher) remove(f *follower) {
