--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -24,6 +24,7 @@
 	"uploads": playUploads,
 	"crowd":   playCrowd,
 	"stale":   playStale,
+	"removal": playRemoval,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -34,6 +34,8 @@
 	changed chan struct{}
 	// staleBy is how old the answers to reads that allow it are.
 	staleBy time.Duration
+	// watching counts the pending watches by the IP address of the caller.
+	watching map[string]int
 	// written holds the time of each revision.
 	written map[uint64]time.Time
 }
@@ -46,7 +48,7 @@
 	}
 	s := &store{
 		address: listener.Addr().String(), items: make(map[string]item), rev: 100, changed: make(chan struct{}),
-		written: make(map[uint64]time.Time),
+		written: make(map[uint64]time.Time), watching: make(map[string]int),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/kv-key", s.serveKey)
@@ -136,6 +138,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	caller, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.countWatch(caller, 1)
+	defer s.countWatch(caller, -1)
 	end := time.NewTimer(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	defer end.Stop()
 	for {
@@ -163,6 +168,19 @@
 	}
 }
 
+func (s *store) countWatch(caller string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watching[caller] += n
+}
+
+// isWatching reports whether a watch of the caller is pending.
+func (s *store) isWatching(caller string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watching[caller] > 0
+}
+
 func answer(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
