roster: a follower learns what was removed before its reader started

What callers saw: requests, payments among them, reached an upstream 4 s after its record was removed (allowed: 2 s).

Cause: a reader that restarts has listed the records once. A listing has no trace of what was removed before it, yet the reader told a follower with an earlier position that the records changed since were all. The follower took over the later position, so no watch brings the removal again. The same gap: a reader that lists again after missed changes, tombstones deleted after 5 min, and grace periods and holds of removals, which the registry lacks.

Fix: a replica knows since when it has seen all removals. Remaining grace periods and holds are sent with removed records.

--- a/internal/roster/era.go
+++ b/internal/roster/era.go
@@ -101,7 +101,7 @@
 		record, previous := entry.restored, entry.record
 		record.Position = r.position
 		entry.restored, entry.holdEnd = cicadacross.Record{}, time.Time{}
-		if r.applyRecord(now, record, now) {
+		if r.applyRecord(now, record, recordDetails{}) {
 			changed = append(changed, change{r.record(key), previous})
 		}
 	}
--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -195,7 +195,10 @@
 	if frame.GetReader() && position.Era() >= d.position().Era() {
 		d.election.recordReaderConfirmation(s.host, age)
 	}
-	u := update{snapshot: frame.GetWhole(), confirmationAge: age, recordAges: []time.Duration{}}
+	u := update{
+		snapshot: frame.GetWhole() || len(frame.GetPresentKeys()) > 0, presentKeys: frame.GetPresentKeys(),
+		confirmationAge: age, details: []recordDetails{},
+	}
 	u.changes.Position = position
 	for _, r := range frame.GetRecords() {
 		record, err := decodeRecord(r, s.lastRouting)
@@ -205,8 +208,15 @@
 		if record.Key == d.opts.Format.RoutingKey() {
 			s.lastRouting = record
 		}
+		details := recordDetails{
+			age:   millisecondsToDuration(r.GetAgeMs()),
+			grace: millisecondsToDuration(r.GetGraceMs()), hold: millisecondsToDuration(r.GetHoldMs()),
+		}
+		if record.Removed {
+			details.lastValue, record.Value = record.Value, nil
+		}
 		u.changes.Records = append(u.changes.Records, record)
-		u.recordAges = append(u.recordAges, millisecondsToDuration(r.GetAgeMs()))
+		u.details = append(u.details, details)
 	}
 	d.enqueue(ctx, u)
 	return nil
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -117,9 +117,9 @@
 	// A follower in a later era would ignore the records.
 	if request.held.Era() <= d.replica.position.Era() {
 		u := d.replica.updateSince(d.opts.Timers.Now(), request.held)
-		frame.Whole = u.snapshot
+		d.setSnapshot(frame, u.snapshot, u.presentKeys)
 		for i, record := range u.changes.Records {
-			frame.Records = append(frame.Records, encodeRecord(record, cicadacross.Record{}, u.recordAges[i]))
+			frame.Records = append(frame.Records, encodeRecord(record, cicadacross.Record{}, u.details[i]))
 		}
 	}
 	d.publisher.followers[f] = true
@@ -127,18 +127,35 @@
 	return f
 }
 
-// publish sends the changed records to all followers. Without changed records, the frame is a heartbeat.
-func (p *publisher) publish(changed []change) {
+// setSnapshot marks the frame as a snapshot, which is whole if it leaves out no existing record.
+func (d *Roster) setSnapshot(frame *peerpb.FollowFrame, snapshot bool, presentKeys []string) {
+	if snapshot {
+		d.sentSnapshots.Inc(1)
+		frame.Whole, frame.PresentKeys = len(presentKeys) == 0, presentKeys
+	}
+}
+
+// publish sends the changed records to all followers. Without changed records, the frame is a heartbeat. When the
+// replica has taken over a snapshot, the frame is one too: a record that was removed meanwhile may be unknown to this
+// daemon but known to a follower.
+func (p *publisher) publish(changed []change, snapshot bool) {
 	if len(p.followers) == 0 {
 		return
 	}
-	frame := p.roster.newFrame()
+	d := p.roster
+	now := d.opts.Timers.Now()
+	frame := d.newFrame()
+	if snapshot {
+		d.setSnapshot(frame, true, d.replica.presentKeys(changed))
+	}
 	for _, c := range changed {
 		var base cicadacross.Record
-		if c.record.Key == p.roster.opts.Format.RoutingKey() {
+		if c.record.Key == d.opts.Format.RoutingKey() {
 			base = c.previous
 		}
-		frame.Records = append(frame.Records, encodeRecord(c.record, base, 0))
+		details := d.replica.records[c.record.Key].details(now)
+		details.age = 0
+		frame.Records = append(frame.Records, encodeRecord(c.record, base, details))
 	}
 	p.broadcast(frame)
 }
@@ -151,14 +168,14 @@
 	}
 	d := p.roster
 	frame := d.newFrame()
-	frame.Whole = true
+	d.setSnapshot(frame, true, nil)
 	u := d.replica.updateSince(d.opts.Timers.Now(), cicadacross.Position{})
 	for i, record := range u.changes.Records {
 		var base cicadacross.Record
 		if record.Key == d.opts.Format.RoutingKey() {
 			base = previousRouting
 		}
-		frame.Records = append(frame.Records, encodeRecord(record, base, u.recordAges[i]))
+		frame.Records = append(frame.Records, encodeRecord(record, base, u.details[i]))
 	}
 	p.broadcast(frame)
 }
@@ -205,10 +222,14 @@
 
 // encodeRecord encodes a record. A large value is compressed against the value of base, which followers must hold,
 // unless that value is small. Followers hold no other previous record than that of the routing.
-func encodeRecord(record, base cicadacross.Record, age time.Duration) *peerpb.Record {
+func encodeRecord(record, base cicadacross.Record, details recordDetails) *peerpb.Record {
 	encoded := &peerpb.Record{
 		Key: record.Key, Value: record.Value, Revision: uint64(record.Position.Revision()),
-		Era: record.Position.Era(), Removed: record.Removed, AgeMs: durationToMilliseconds(age),
+		Era: record.Position.Era(), Removed: record.Removed, AgeMs: durationToMilliseconds(details.age),
+		GraceMs: durationToMilliseconds(details.grace), HoldMs: durationToMilliseconds(details.hold),
+	}
+	if record.Removed {
+		encoded.Value = details.lastValue
 	}
 	if len(record.Value) < compressionThreshold {
 		return encoded
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -47,14 +47,27 @@
 // update is a set of records from the registry or from another daemon.
 type update struct {
 	changes cicadacross.Changes
-	// recordAges holds, for records from another daemon, how long that daemon has known each; nil means that all are new.
-	recordAges []time.Duration
-	// snapshot reports that the update holds all records, so that those missing from it have been removed.
+	// details holds, for records from another daemon, what that daemon knows of each; nil means that all are new.
+	details []recordDetails
+	// snapshot reports that the update holds or names all records, so that those missing from it have been removed.
 	snapshot bool
+	// presentKeys names the existing records that a snapshot leaves out because the receiver has them.
+	presentKeys []string
 	// confirmationAge is the time since the registry confirmed that the records are complete.
 	confirmationAge time.Duration
 }
 
+// recordDetails is what a daemon knows of a record besides what the registry holds.
+type recordDetails struct {
+	// age is how long the daemon has known the record.
+	age time.Duration
+	// lastValue is the value of a removed record before its removal. It is set while grace or hold is.
+	lastValue []byte
+	// grace and hold are the remaining times until replicaEntry.graceEnd and replicaEntry.holdEnd; 0 means none.
+	grace time.Duration
+	hold  time.Duration
+}
+
 // replica is this daemon's copy of the registry. Positions order all changes, so that updates may arrive from any
 // daemon and in any order. Only the control goroutine uses it.
 type replica struct {
@@ -67,6 +80,9 @@
 	era        metrics.Gauge
 	// position is the position up to which the replica is complete; the zero Position means that nothing is known.
 	position cicadacross.Position
+	// historyStart is the position since which the replica knows all removals. A snapshot shows which records exist, but
+	// not which ones existed before it.
+	historyStart cicadacross.Position
 	// confirmedAt is the last time at which the registry was known to have no further changes.
 	confirmedAt time.Time
 	// lastOutageEnd is the time at which the last outage ended or another era was noticed; the zero time means never.
@@ -108,20 +124,26 @@
 	r.enterEra(now, u.changes.Position)
 	r.recordConfirmation(now, now.Add(-u.confirmationAge))
 	var changed []change
-	present := make(map[string]bool, len(u.changes.Records))
+	present := make(map[string]bool, len(u.changes.Records)+len(u.presentKeys))
+	for _, key := range u.presentKeys {
+		present[key] = true
+	}
 	for i, record := range u.changes.Records {
 		present[record.Key] = true
-		learnedAt := now
-		if u.recordAges != nil {
-			learnedAt = now.Add(-u.recordAges[i])
+		var details recordDetails
+		if u.details != nil {
+			details = u.details[i]
 		}
 		previous := r.record(record.Key)
-		if r.applyRecord(now, record, learnedAt) {
+		if r.applyRecord(now, record, details) {
 			changed = append(changed, change{r.record(record.Key), previous})
 		}
 	}
 	if u.snapshot {
 		changed = append(changed, r.removeAbsent(now, u, present)...)
+		if r.position.Before(u.changes.Position) {
+			r.historyStart = u.changes.Position
+		}
 	}
 	r.position = cicadacross.LaterPosition(r.position, u.changes.Position)
 	return changed
@@ -136,9 +158,10 @@
 }
 
 // applyRecord applies a record that may be older or newer than the stored one, and reports whether the entry changed.
-func (r *replica) applyRecord(now time.Time, record cicadacross.Record, learnedAt time.Time) bool {
-	entry := r.newEntry(record, learnedAt)
-	if previous, ok := r.records[record.Key]; ok {
+func (r *replica) applyRecord(now time.Time, record cicadacross.Record, details recordDetails) bool {
+	previous, known := r.records[record.Key]
+	entry := r.newEntry(now, record, details)
+	if known {
 		switch order := record.Position.Compare(previous.record.Position); {
 		case order < 0:
 			return false
@@ -148,6 +171,9 @@
 			}
 			entry.kept = true
 			entry.inherit(previous)
+			if entry.restored.Key != "" && !previous.record.Removed {
+				entry.restored = previous.record
+			}
 		default:
 			entry = r.resolve(now, previous, entry)
 		}
@@ -158,8 +184,20 @@
 
 // newEntry returns an entry for the record, decoded if it is the record of an upstream. It drops the value of a record
 // that is never used, so that it takes no memory and isn't sent to other daemons.
-func (r *replica) newEntry(record cicadacross.Record, learnedAt time.Time) *replicaEntry {
+func (r *replica) newEntry(now time.Time, record cicadacross.Record, details recordDetails) *replicaEntry {
+	learnedAt := now.Add(-details.age)
 	entry := &replicaEntry{record: record, learnedAt: learnedAt, originEra: record.Position.Era()}
+	if record.Removed && len(details.lastValue) > 0 {
+		last := record
+		last.Removed, last.Value = false, details.lastValue
+		entry.state = r.newEntry(now, last, recordDetails{age: details.age}).state
+		if details.hold > 0 {
+			entry.restored, entry.holdEnd = last, now.Add(details.hold)
+		}
+	}
+	if record.Removed && details.grace > 0 {
+		entry.graceEnd = now.Add(details.grace)
+	}
 	isInstance := strings.HasPrefix(record.Key, r.opts.Format.InstancePrefix())
 	switch {
 	case record.Removed || record.Key == r.opts.Format.RoutingKey():
@@ -258,7 +296,7 @@
 		}
 		tombstone := cicadacross.Record{Key: key, Position: u.changes.Position, Removed: true}
 		previous := entry.record
-		if r.applyRecord(now, tombstone, now) {
+		if r.applyRecord(now, tombstone, recordDetails{}) {
 			removed = append(removed, change{r.record(key), previous})
 		}
 	}
@@ -299,21 +337,62 @@
 	for key, entry := range r.records {
 		if entry.record.Removed && now.Sub(entry.learnedAt) > tombstoneRetention {
 			delete(r.records, key)
+			r.historyStart = cicadacross.LaterPosition(r.historyStart, entry.record.Position)
 		}
 	}
 }
 
-// updateSince returns the records that changed after the position, and how long each has been known. It includes those
-// that other daemons may know differently at the same position. The update is a snapshot if the position is in another
-// era than the replica, or zero.
+// updateSince returns the records that changed after the position, which those in the replica of another daemon are
+// complete up to. It includes those that the other daemon may know differently at the same position. The update is a
+// snapshot if the replica can't name all that was removed after the position.
 func (r *replica) updateSince(now time.Time, after cicadacross.Position) update {
-	u := update{snapshot: after.IsZero() || after.Era() != r.position.Era()}
+	hasNone := after.IsZero() || after.Era() != r.position.Era()
+	u := update{snapshot: hasNone || after.Before(r.historyStart)}
 	u.changes.Position = r.position
-	for _, entry := range r.records {
-		if u.snapshot || after.Before(entry.record.Position) || entry.kept {
+	for key, entry := range r.records {
+		switch {
+		case hasNone || after.Before(entry.record.Position) || entry.mayDiffer(now):
 			u.changes.Records = append(u.changes.Records, entry.record)
-			u.recordAges = append(u.recordAges, now.Sub(entry.learnedAt))
+			u.details = append(u.details, entry.details(now))
+		case u.snapshot && !entry.record.Removed:
+			u.presentKeys = append(u.presentKeys, key)
 		}
 	}
 	return u
 }
+
+// presentKeys returns the keys of the existing records other than the changed ones.
+func (r *replica) presentKeys(changed []change) []string {
+	isChanged := make(map[string]bool, len(changed))
+	for _, c := range changed {
+		isChanged[c.record.Key] = true
+	}
+	var keys []string
+	for key, entry := range r.records {
+		if !entry.record.Removed && !isChanged[key] {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// mayDiffer reports whether other daemons may have another content of the record at the same position.
+func (e *replicaEntry) mayDiffer(now time.Time) bool {
+	return e.kept || e.record.Removed && (e.isEffective(now) || !e.holdEnd.IsZero())
+}
+
+// details returns what another daemon must know of the record besides its content.
+func (e *replicaEntry) details(now time.Time) recordDetails {
+	details := recordDetails{age: now.Sub(e.learnedAt)}
+	if !e.record.Removed {
+		return details
+	}
+	details.grace = max(0, e.graceEnd.Sub(now))
+	if !e.holdEnd.IsZero() {
+		details.hold = max(0, e.holdEnd.Sub(now))
+	}
+	if e.state != nil && (details.grace > 0 || details.hold > 0) {
+		details.lastValue = e.state.value
+	}
+	return details
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -80,6 +80,8 @@
 	deviationCount metrics.Gauge
 	// failedStreams counts the streams from followed daemons that ended although they were still wanted.
 	failedStreams metrics.Counter
+	// sentSnapshots counts the frames to followers that hold or name all records.
+	sentSnapshots metrics.Counter
 
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -113,6 +115,7 @@
 		rejectedRoutings: metrics.GetOrRegisterCounter("registry.routing_rejected", opts.Metrics),
 		deviationCount:   metrics.GetOrRegisterGauge("registry.routing_deviations", opts.Metrics),
 		failedStreams:    metrics.GetOrRegisterCounter("registry.failed_streams", opts.Metrics),
+		sentSnapshots:    metrics.GetOrRegisterCounter("registry.snapshots_sent", opts.Metrics),
 	}
 	d.replica, d.builder = newReplica(&d.opts), newBuilder(&d.opts)
 	d.state.Store(&controlState{})
@@ -179,12 +182,12 @@
 		case links := <-d.publisher.linkUpdates:
 			d.publisher.publishLinks(links)
 		case <-heartbeat.C():
-			d.publisher.publish(nil)
+			d.publisher.publish(nil, false)
 		case <-deadline:
 			d.endHolds()
 			d.rebuild()
-		case now := <-prune.C():
-			d.replica.prune(now)
+		case <-prune.C():
+			d.replica.prune(d.opts.Timers.Now())
 		}
 		stopTimer()
 	}
@@ -193,7 +196,7 @@
 // endHolds publishes the records whose removal isn't held any more.
 func (d *Roster) endHolds() {
 	if changed := d.replica.endHolds(d.opts.Timers.Now()); len(changed) > 0 {
-		d.publisher.publish(changed)
+		d.publisher.publish(changed, false)
 	}
 }
 
@@ -223,7 +226,7 @@
 // applyUpdate merges an update into the replica, rebuilds the configuration if records changed, and publishes them.
 func (d *Roster) applyUpdate(u update) {
 	now := d.opts.Timers.Now()
-	previousEra := d.replica.position.Era()
+	previousEra, previousHistoryStart := d.replica.position.Era(), d.replica.historyStart
 	previousRouting := d.replica.record(d.opts.Format.RoutingKey())
 	changed := d.replica.merge(now, u)
 	s := *d.state.Load()
@@ -246,8 +249,8 @@
 	switch {
 	case position.Era() != previousEra:
 		d.publisher.publishEra(previousRouting)
-	case len(changed) > 0:
-		d.publisher.publish(changed)
+	case len(changed) > 0 || d.replica.historyStart != previousHistoryStart:
+		d.publisher.publish(changed, d.replica.historyStart != previousHistoryStart)
 	}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -98,16 +98,20 @@
 
 // startNodeWithLink starts a node with a link of the given speed.
 func startNodeWithLink(t *testing.T, host string, port uint16, store *standin.Store, mbps float64) *node {
+	t.Helper()
+	return startNodeWith(t, host, port, store, roster.Options{Timers: timer.System{}, LinkMbps: mbps})
+}
+
+// startNodeWith starts a node with the timers and the optional fields of the options.
+func startNodeWith(t *testing.T, host string, port uint16, store *standin.Store, opts roster.Options) *node {
 	t.Helper()
 	registry, err := platform.NewStore(store.Address(), netip.MustParseAddr(host))
 	assert.NilError(t, err)
 	pool := peer.NewPool(fleetKey)
 	values := metrics.NewRegistry()
-	d, err := roster.New(roster.Options{
-		Host: host, AvailabilityZone: "z1", PeerPort: port, OperatorPort: port + 1,
-		Registry: registry, Format: platform.Format{}, Timers: timer.System{}, Pool: pool,
-		LinkMbps: mbps, Metrics: values,
-	})
+	opts.Host, opts.AvailabilityZone, opts.PeerPort, opts.OperatorPort = host, "z1", port, port+1
+	opts.Registry, opts.Format, opts.Pool, opts.Metrics = registry, platform.Format{}, pool, values
+	d, err := roster.New(opts)
 	assert.NilError(t, err)
 	sent := new(sentBytesHandler)
 	server := peer.NewServer(fleetKey, grpc.StatsHandler(sent))
