roster: ignore another daemon's record of what is known to be removed

What callers would see: a removed upstream used again as long as it lives. Shown by a test only.

Cause: a daemon that has listed the records has no entry for what was removed before. Another daemon that learns of that removal later may still send the record, which seemed new; if the stream then ends, the removal never follows, since the position of the first daemon is later.

Fix: a record without an entry whose position isn't after that of the replica was removed, and is ignored. Routings are excepted, which daemons keep although a restored registry lacks them, and grace periods.

TestOlderRecordOfAnotherDaemonIsIgnored failed before.

--- a/internal/roster/handover_test.go
+++ b/internal/roster/handover_test.go
@@ -166,6 +166,50 @@
 	assertNamesRemoval(t, followNode(t, "127.0.0.1", port, removed-1), "servers/i-2", removed)
 }
 
+// followedDaemon is a daemon that sends its followers the given frame.
+type followedDaemon struct {
+	peerpb.UnimplementedReplicationServer
+	frame *peerpb.FollowFrame
+}
+
+func (f *followedDaemon) Follow(
+	_ *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowFrame],
+) error {
+	if err := stream.Send(f.frame); err != nil {
+		return err
+	}
+	<-stream.Context().Done()
+	return nil
+}
+
+// Guards against a daemon that uses a removed target again because another one, which hasn't learned of the removal yet,
+// sends an older record of it.
+func TestOlderRecordOfAnotherDaemonIsIgnored(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	publishFleet(store)
+	port := freePort(t)
+	older := store.Put("servers/i-3", instanceRecord("127.0.0.3:80", "draining", 1))
+	store.Remove("servers/i-3")
+	age := uint64(0)
+	server := peer.NewServer(fleetKey)
+	peerpb.RegisterReplicationServer(server, &followedDaemon{frame: &peerpb.FollowFrame{
+		Complete: older, ConfirmedAgeMs: &age, Records: []*peerpb.Record{
+			{Key: "servers/i-3", Value: []byte(instanceRecord("127.0.0.3:80", "draining", 1)), Revision: older},
+			{Key: "servers/i-4", Value: []byte(instanceRecord("127.0.0.4:80", "ready", 1)), Revision: older + 10},
+		},
+	}})
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", port))
+	assert.NilError(t, err)
+	go serve(server, listener)
+	defer server.Stop()
+	n := startNode(t, "127.0.0.1", port, store)
+	// The record of the later revision shows that the frame has arrived.
+	poll.WaitOn(t, n.hasVersion(3, 3), pollFor(applyLimit))
+	_, used := n.Configuration().TargetOn("127.0.0.3")
+	assert.Assert(t, !used)
+}
+
 // Guards against a daemon that starts right after a restoration of the registry and doesn't know of the evacuations that
 // the copy lacks, while the others keep them until the operator writes them again.
 func TestStartedDaemonLearnsOfEvacuationsInTheirGracePeriod(t *testing.T) {
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -160,6 +160,9 @@
 // applyRecord applies a record that may be older or newer than the stored one, and reports whether the entry changed.
 func (r *replica) applyRecord(now time.Time, record cicadacross.Record, details recordDetails) bool {
 	previous, known := r.records[record.Key]
+	if !known && r.isKnownRemoved(record, details) {
+		return false
+	}
 	entry := r.newEntry(now, record, details)
 	if known {
 		switch order := record.Position.Compare(previous.record.Position); {
@@ -182,6 +185,15 @@
 	return true
 }
 
+// isKnownRemoved reports whether a record without an entry has been removed meanwhile: the replica, which is complete up
+// to a later position, doesn't have it. The daemon that sent it hasn't learned of the removal yet. Only a routing may be
+// known to other daemons alone, since they keep one that a restored registry lacks, and a removed record in its grace
+// period.
+func (r *replica) isKnownRemoved(record cicadacross.Record, details recordDetails) bool {
+	return record.Position.Era() == r.position.Era() && !r.position.Before(record.Position) &&
+		record.Key != r.opts.Format.RoutingKey() && details.grace <= 0
+}
+
 // newEntry returns an entry for the record, decoded if it is the record of an upstream. It drops the value of a record
 // that is never used, so that it takes no memory and isn't sent to other daemons.
 func (r *replica) newEntry(now time.Time, record cicadacross.Record, details recordDetails) *replicaEntry {
