roster: no call to the registry outlasts the outage in which it was made

Cause: a watch that is pending when the registry stops answering is never answered. The reader waited for it until its time limit, 11.6 s, although its pings succeeded again. A daemon that became the reader again kept an even older watch.

Fix: the first ping that succeeds after a failed one, or after another daemon was the reader, cancels a call from before and confirms nothing. It also ends the wait before the next call; listings are treated alike, also those of a daemon that starts. While pings lag, the current position is read, so that a lost response is noticed and lag isn't taken for an outage.

--- a/internal/roster/reader.go
+++ b/internal/roster/reader.go
@@ -21,9 +21,6 @@
 	// discarded its history: the next watch may stall without an error too.
 	shortWatchWait   = 700 * time.Millisecond
 	shortWatchPeriod = 15 * time.Second
-	// pingInterval is the time between two pings of the registry. A ping confirms the records well within
-	// confirmationTimeout, after which another daemon takes over.
-	pingInterval = 500 * time.Millisecond
 	// minWatchInterval is the minimum time between the starts of two watches, each of which counts as a call. It is well
 	// below 2 s, the shortest limit that the platform sets for a leaving target to receive no more requests.
 	minWatchInterval = 400 * time.Millisecond
@@ -57,14 +54,28 @@
 	unknownEra metrics.Counter
 	// failing reports that the last call failed.
 	failing atomic.Bool
+	// retryNow ends the wait before the next call.
+	retryNow chan struct{}
 
-	mu sync.Mutex
-	// cancelWatch cancels the pending watch; nil means that none is pending or that its response has begun to arrive.
-	cancelWatch context.CancelFunc
+	mu      sync.Mutex
+	pending pendingCall
+}
+
+// pendingCall is a listing or watch that waits for its response.
+type pendingCall struct {
+	// cancel cancels the call; nil means that none is pending or that its response has begun to arrive.
+	cancel context.CancelFunc
+	began  time.Time
+	// isWatch reports that the call is a watch, whose response may take long.
+	isWatch bool
+	// interrupted reports that the pinger canceled the call, missedChange that the call had missed a change.
+	interrupted  bool
+	missedChange bool
 }
 
 func (r *reader) init(d *Roster) {
 	r.roster = d
+	r.retryNow = make(chan struct{}, 1)
 	r.earlierEra = metrics.GetOrRegisterCounter(earlierEraMetric, d.opts.Metrics)
 	r.unknownEra = metrics.GetOrRegisterCounter("registry.unknown_era_responses", d.opts.Metrics)
 }
@@ -91,7 +102,7 @@
 		}
 		r.recordResult(err)
 		if err != nil {
-			r.sleep(ctx, r.retryWait())
+			r.awaitRetry(ctx)
 			continue
 		}
 		if !r.relist {
@@ -144,7 +155,12 @@
 // list makes a listing that began at the given time.
 func (r *reader) list(ctx context.Context, began time.Time) error {
 	d := r.roster
-	changes, err := d.opts.Registry.List(ctx)
+	listCtx, cancel := r.beginCall(ctx, false)
+	defer cancel()
+	changes, err := d.opts.Registry.List(listCtx)
+	if r.endCall() && err != nil {
+		return errInterrupted
+	}
 	if err != nil {
 		return err
 	}
@@ -190,8 +206,9 @@
 	return changes, nil
 }
 
-// errInterrupted means that the pinger canceled a watch that had missed a change.
-var errInterrupted = newError("watch", KindInterrupted, "canceled a watch that missed a change")
+// errInterrupted means that the pinger canceled a call that may never have been answered, or a watch that had missed a
+// change.
+var errInterrupted = newError("read", KindInterrupted, "canceled a call")
 
 // errListingRequired means that a watch can't return the changes, so that the next call lists all records.
 var errListingRequired = newError("watch", KindInterrupted, "the watch can't return the changes")
@@ -199,28 +216,86 @@
 // watch makes one call that the pinger may interrupt until the response begins to arrive. It returns errInterrupted if
 // the pinger did.
 func (r *reader) watch(ctx context.Context, after cicadacross.Position) (cicadacross.Changes, error) {
-	watchCtx, cancel := context.WithCancel(ctx)
+	watchCtx, cancel := r.beginCall(ctx, true)
 	defer cancel()
-	r.mu.Lock()
-	r.cancelWatch = cancel
-	r.mu.Unlock()
 	changes, err := r.roster.opts.Registry.Watch(watchCtx, cicadacross.WatchOptions{
-		After: after, Wait: r.nextWatchWait(), OnResponse: r.watchAnswered,
+		After: after, Wait: r.nextWatchWait(), OnResponse: r.callAnswered,
 	})
-	r.watchAnswered()
-	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		r.missedChangeAt = r.roster.opts.Timers.Now()
+	if r.endCall() && err != nil {
 		return cicadacross.Changes{}, errInterrupted
 	}
 	return changes, err
 }
 
-// watchAnswered ends the time in which the pending watch can be interrupted, since its response has begun to arrive. A
+// beginCall returns the context of a call that the pinger may interrupt until callAnswered or endCall. The caller must
+// call cancel.
+func (r *reader) beginCall(ctx context.Context, isWatch bool) (callCtx context.Context, cancel context.CancelFunc) {
+	callCtx, cancel = context.WithCancel(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending = pendingCall{cancel: cancel, began: r.roster.opts.Timers.Now(), isWatch: isWatch}
+	return callCtx, cancel
+}
+
+// callAnswered ends the time in which the pending call can be interrupted, since its response has begun to arrive. A
 // large response takes a while on a slow link.
-func (r *reader) watchAnswered() {
+func (r *reader) callAnswered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending.cancel = nil
+}
+
+// endCall ends the pending call and reports whether the pinger has interrupted it.
+func (r *reader) endCall() (interrupted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ended := r.pending
+	r.pending = pendingCall{}
+	if ended.missedChange {
+		r.missedChangeAt = r.roster.opts.Timers.Now()
+	}
+	return ended.interrupted
+}
+
+// pendingSince returns the time at which the pending call began; ok is false when there is none that can be interrupted.
+func (r *reader) pendingSince() (began time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pending.began, r.pending.cancel != nil
+}
+
+// interruptBefore cancels the pending call if it began before the time, and ends the wait before the next one: the
+// registry may never answer a call that was made during an outage, also when it answers others again.
+func (r *reader) interruptBefore(at time.Time, reason string) {
+	select {
+	case r.retryNow <- struct{}{}:
+	default:
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cancelWatch = nil
+	if r.pending.cancel == nil || !r.pending.began.Before(at) {
+		return
+	}
+	r.roster.interruptedCalls.Inc(1)
+	r.roster.opts.Logger.Info("canceling a registry call that may never be answered", "reason", reason,
+		"pending", r.roster.opts.Timers.Now().Sub(r.pending.began).String())
+	r.pending.interrupted = true
+	r.pending.cancel()
+}
+
+// interruptWatch cancels the pending watch, so that the next one returns the changes that it missed. The position,
+// which is ahead of the watch, is logged.
+func (r *reader) interruptWatch(position cicadacross.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pending.cancel == nil || !r.pending.isWatch {
+		return
+	}
+	watched := r.watchedPosition()
+	r.roster.opts.Logger.Info("canceling a registry watch that missed a change", "watched_era", watched.Era(),
+		"watched_revision", uint64(watched.Revision()), "era", position.Era(), "revision", uint64(position.Revision()))
+	r.pending.interrupted, r.pending.missedChange = true, true
+	r.pending.cancel()
 }
 
 // nextWatchWait returns the wait of the next watch, which is short for some time after a missed change.
@@ -254,90 +329,31 @@
 	return wait + time.Duration(retryJitter*rand.Float64()*float64(wait)) // #nosec G404 -- jitter
 }
 
-// sleep waits for d or until ctx ends.
-func (r *reader) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
+// awaitRetry waits before the next call after a failed one, until the pinger finds that the registry answers again.
+func (r *reader) awaitRetry(ctx context.Context) {
+	select {
+	case <-r.retryNow:
+		// The signal is from before the call.
+	default:
 	}
-	t := r.roster.opts.Timers.After(d)
+	t := r.roster.opts.Timers.After(r.retryWait())
 	defer t.Stop()
 	select {
 	case <-t.C():
+	case <-r.retryNow:
 	case <-ctx.Done():
 	}
 }
 
-// pinger pings the registry while this daemon is elected. A pending watch can stall without an error and then returns
-// no changes; the pinger detects this when the newest known position is ahead of the same watch at two pings in a row,
-// or at once if the position is in a later era.
-type pinger struct {
-	reader *reader
-	// wasAhead reports that the last ping found a position ahead of the watch from position aheadOf.
-	wasAhead bool
-	aheadOf  cicadacross.Position
-}
-
-func (p *pinger) run(ctx context.Context) {
-	d := p.reader.roster
-	defer d.goroutines.Done()
-	t := d.opts.Timers.Every(pingInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C():
-		}
-		if d.Configuration() != nil && d.election.isElected() {
-			p.ping(ctx)
-		}
-	}
-}
-
-func (p *pinger) ping(ctx context.Context) {
-	d := p.reader.roster
-	began := d.opts.Timers.Now()
-	position, err := d.opts.Registry.Ping(ctx)
-	if err != nil {
-		d.opts.Logger.V(1).Info("registry ping failed", "reason", err.Error())
-		return
-	}
-	response, err := p.reader.resolveEra(cicadacross.Changes{Position: position})
-	if err != nil {
-		d.opts.Logger.V(1).Info("ignoring a registry ping", "reason", err.Error())
-		return
-	}
-	position = response.Position
-	p.reader.pingedEra.Store(position.Era())
-	watched := p.reader.watchedPosition()
-	newestKnown := cicadacross.LaterPosition(watched, d.position())
-	newest := cicadacross.LaterPosition(position, newestKnown)
-	if watched.Before(newest) {
-		if newest.Era() > watched.Era() || p.wasAhead && p.aheadOf == watched {
-			p.reader.interruptWatch(newest)
-		}
-		p.wasAhead, p.aheadOf = true, watched
+// sleep waits for d or until ctx ends.
+func (r *reader) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
 		return
 	}
-	p.wasAhead = false
-	// A response behind the newest known position comes from a lagging replica of the registry and confirms nothing.
-	if position == newestKnown && !p.reader.failing.Load() {
-		d.election.recordOwnConfirmation()
-		confirmed := cicadacross.Changes{Position: cicadacross.NewPosition(position.Era(), 0)}
-		d.enqueue(ctx, update{changes: confirmed, confirmationAge: d.opts.Timers.Now().Sub(began)})
-	}
-}
-
-// interruptWatch cancels the pending watch, so that the next one returns the changes that it missed. The position,
-// which is ahead of the watch, is logged.
-func (r *reader) interruptWatch(position cicadacross.Position) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cancelWatch == nil {
-		return
+	t := r.roster.opts.Timers.After(d)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-ctx.Done():
 	}
-	watched := r.watchedPosition()
-	r.roster.opts.Logger.Info("canceling a registry watch that missed a change", "watched_era", watched.Era(),
-		"watched_revision", uint64(watched.Revision()), "era", position.Era(), "revision", uint64(position.Revision()))
-	r.cancelWatch()
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -82,6 +82,10 @@
 	failedStreams metrics.Counter
 	// sentSnapshots counts the frames to followers that hold or name all records.
 	sentSnapshots metrics.Counter
+	// currentReads counts the reads of the current position, interruptedCalls the calls to the registry that were canceled
+	// since they may never be answered.
+	currentReads     metrics.Counter
+	interruptedCalls metrics.Counter
 
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -115,6 +119,8 @@
 		rejectedRoutings: metrics.GetOrRegisterCounter("registry.routing_rejected", opts.Metrics),
 		deviationCount:   metrics.GetOrRegisterGauge("registry.routing_deviations", opts.Metrics),
 		failedStreams:    metrics.GetOrRegisterCounter("registry.failed_streams", opts.Metrics),
+		currentReads:     metrics.GetOrRegisterCounter("registry.current_reads", opts.Metrics),
+		interruptedCalls: metrics.GetOrRegisterCounter("registry.interrupted_calls", opts.Metrics),
 		sentSnapshots:    metrics.GetOrRegisterCounter("registry.snapshots_sent", opts.Metrics),
 	}
 	d.replica, d.builder = newReplica(&d.opts), newBuilder(&d.opts)
--- a/registry.go
+++ b/registry.go
@@ -47,6 +47,8 @@
 	Watch(ctx context.Context, opts WatchOptions) (Changes, error)
 	// Ping checks that the registry answers, with the cheapest request that it offers, and returns a recent position.
 	Ping(ctx context.Context) (Position, error)
+	// Position returns the current position. It may cost more than Ping.
+	Position(ctx context.Context) (Position, error)
 	// RequiresListing reports whether an error of Watch means that the same call would fail again: the registry has
 	// discarded the requested changes, or their response is too large or can't be read.
 	RequiresListing(err error) bool
