roster: daemons that start or return learn of quarantined requests

Cause: with a registry, suspects were sent to the other daemons once, at the moment of a crash. A daemon that started later, or couldn't be reached then, never learned of them.

Fix: the daemon of the upstream announces them to each daemon until that has acknowledged them. A daemon that starts, was paused or was cut off asks a few others. A refusal as quarantined carries the suspects, and messages hold the quarantined ones first.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -65,6 +65,9 @@
 			a.handleStarted(m.Started)
 		case *peerpb.ForwardReply_Refusal:
 			a.observeLoad(m.Refusal.GetLoad())
+			if len(m.Refusal.GetSuspects()) > 0 {
+				a.mergeSuspects(m.Refusal.GetSuspects())
+			}
 			if m.Refusal.GetKind() == relay.RefusalRejected {
 				// The upstream was called and rejected the request.
 				a.recordResult(false)
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -150,8 +150,24 @@
 		}
 	}
 }
-func (q *testQuarantine) Suspects() []cicadacross.Suspect { return nil }
-func (q *testQuarantine) Merge([]cicadacross.Suspect)     {}
+
+func (q *testQuarantine) Suspects() []cicadacross.Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []cicadacross.Suspect
+	for fingerprint := range q.blocked {
+		list = append(list, cicadacross.Suspect{Fingerprint: fingerprint, Crashes: 2})
+	}
+	return list
+}
+
+func (q *testQuarantine) Merge(suspects []cicadacross.Suspect) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, s := range suspects {
+		q.blocked[s.Fingerprint] = true
+	}
+}
 
 // firstTargetBalancer is a balancer that picks the first candidate.
 type firstTargetBalancer struct{}
--- a/internal/ingress/owner_test.go
+++ b/internal/ingress/owner_test.go
@@ -101,6 +101,19 @@
 	assert.Equal(t, next.Executions().ByPath["/pages/crash"], 0)
 }
 
+// Guards against an ingress daemon that sends a quarantined request to the next target, although the refusal of the first
+// owner shows that it crashes upstreams.
+func TestRefusalInformsOfQuarantinedRequests(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	informed := f.nodes[0].quarantine
+	fingerprint := relay.Fingerprint("portal", "GET", "/pages/crash", nil)
+	informed.Merge([]cicadacross.Suspect{{Fingerprint: fingerprint, Crashes: 2}})
+	got := f.call(1, "GET", "/pages/crash", nil)
+	assert.Equal(t, got.outcome(), "not-run", got.body)
+	assert.Assert(t, f.nodes[1].quarantine.IsQuarantined(fingerprint))
+	assert.Equal(t, f.nodes[1].standin.Executions().Started, 0)
+}
+
 // Guards against a second attempt with a key that is refused before its owner is asked, and whose response then denies
 // the run of the first attempt: here the body doesn't arrive in time.
 func TestRefusalOfAFurtherSendDoesNotDenyTheFirst(t *testing.T) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -362,7 +362,8 @@
 	return t.entry(fingerprint, t.opts.Timers.Now()) != nil
 }
 
-// Suspects implements cicadacross.Quarantine. It returns at most MaxSuspects.
+// Suspects implements cicadacross.Quarantine. It returns at most MaxSuspects, the quarantined ones first, so that a crash
+// with many requests in progress doesn't keep others from learning of them.
 func (t *Tracker) Suspects() []cicadacross.Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -375,7 +376,8 @@
 		})
 	}
 	slices.SortFunc(list, func(a, b cicadacross.Suspect) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		return cmp.Or(-cmp.Compare(min(a.Crashes, quarantineCrashes), min(b.Crashes, quarantineCrashes)),
+			cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	return list[:min(len(list), MaxSuspects)]
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -339,6 +339,26 @@
 	f.trackers[b].Merge(fromA)
 }
 
+// Guards against a quarantined request that other daemons don't learn of, since later crashes had more requests in
+// progress than a message holds.
+func TestQuarantinedRequestsAreReportedFirst(t *testing.T) {
+	timers := timer.NewManual(time.Unix(0, 0))
+	tracker, other := newTracker("h1", timers), newTracker("h2", timers)
+	for range 2 {
+		_, err := tryEnter(tracker, 1)
+		assert.NilError(t, err)
+		tracker.RecordCrash()
+	}
+	timers.Advance(time.Second)
+	for f := uint64(2); f < 2+quarantine.MaxSuspects; f++ {
+		_, err := tryEnter(tracker, f)
+		assert.NilError(t, err)
+	}
+	tracker.RecordCrash()
+	other.Merge(tracker.Suspects())
+	assert.Assert(t, other.IsQuarantined(1))
+}
+
 // Guards against a popular page that is refused for 10 minutes because two upstreams, which were both running it, crash
 // within the time in which one daemon informs another.
 func TestRunningRequestIsNotQuarantinedByAReport(t *testing.T) {
--- a/internal/relay/execution.go
+++ b/internal/relay/execution.go
@@ -284,6 +284,9 @@
 func (e *execution) refuse(refused *peerpb.Refusal) error {
 	e.recordDecision("refuse", "kind", refused.GetKind(), "reason", refused.GetReason())
 	refused.Load = e.owner.load(e.head.GetKind())
+	if refused.GetKind() == RefusalQuarantined {
+		refused.Suspects = peer.EncodeSuspects(e.owner.opts.Quarantine)
+	}
 	return e.send(&peerpb.ForwardReply{Message: &peerpb.ForwardReply_Refusal{Refusal: refused}})
 }
 
--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"cicadacross"
-	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 )
 
@@ -25,8 +24,6 @@
 	fallbackThreshold = 2 * time.Second
 	// fallbackInterval is how long such a random daemon is followed before another one is chosen.
 	fallbackInterval = 2 * time.Second
-	// warnCallTimeout is the timeout of the call that sends suspects to another daemon.
-	warnCallTimeout = time.Second
 )
 
 // followManager runs one goroutine for each followed daemon.
@@ -263,38 +260,3 @@
 func (d *Roster) peerAddress(host string) string {
 	return net.JoinHostPort(host, strconv.Itoa(int(d.opts.PeerPort)))
 }
-
-// AnnounceSuspects sends the suspects, the requests that were in progress at a crash of an upstream, to all other
-// daemons. It doesn't wait for the calls.
-func (d *Roster) AnnounceSuspects() {
-	c := d.Configuration()
-	if c == nil || d.opts.Quarantine == nil {
-		return
-	}
-	suspects := peer.EncodeSuspects(d.opts.Quarantine)
-	for _, t := range c.Targets() {
-		if t.Host() != d.opts.Host {
-			w := &warnCall{roster: d, address: t.Peer(), request: &peerpb.WarnRequest{Suspects: suspects}}
-			go w.run()
-		}
-	}
-}
-
-// warnCall is one call that sends suspects to another daemon.
-type warnCall struct {
-	roster  *Roster
-	address string
-	request *peerpb.WarnRequest
-}
-
-func (w *warnCall) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), warnCallTimeout)
-	defer cancel()
-	conn, err := w.roster.opts.Pool.Conn(w.address)
-	if err == nil {
-		_, err = peerpb.NewReplicationClient(conn).Warn(ctx, w.request)
-	}
-	if err != nil {
-		w.roster.opts.Logger.V(1).Info("sending suspects to a daemon failed", "peer", w.address, "reason", err.Error())
-	}
-}
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,7 +10,6 @@
 
 	"cicadacross"
 	"cicadacross/internal/pack"
-	"cicadacross/internal/peer"
 	"cicadacross/internal/peerpb"
 )
 
@@ -272,15 +270,3 @@
 func durationToMilliseconds(d time.Duration) uint64 {
 	return uint64(max(0, d.Milliseconds())) // #nosec G115 -- not below 0
 }
-
-// Warn merges the suspects that another daemon sent. The status is InvalidArgument when they can't be decoded.
-func (d *Roster) Warn(_ context.Context, request *peerpb.WarnRequest) (*peerpb.WarnReply, error) {
-	suspects, err := peer.DecodeSuspects(request.GetSuspects())
-	if err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
-	if d.opts.Quarantine != nil {
-		d.opts.Quarantine.Merge(suspects)
-	}
-	return &peerpb.WarnReply{}, nil
-}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -73,6 +73,9 @@
 	publisher     publisher
 	election      election
 	reader        reader
+	suspects      suspectExchange
+	// informed reports that this daemon knows the suspects of the daemons that ran before it.
+	informed atomic.Bool
 
 	changedRecords   metrics.Counter
 	rejectedRoutings metrics.Counter
@@ -128,6 +131,7 @@
 	d.publisher.init(d)
 	d.election.init(d)
 	d.reader.init(d)
+	d.suspects.init(d)
 	return d, nil
 }
 
@@ -139,6 +143,7 @@
 	go d.run(ctx)
 	d.startReader(ctx)
 	d.startFollowing(ctx)
+	d.startSuspectExchange(ctx)
 }
 
 // Stop stops the goroutines of the control plane and waits until they have returned.
--- a/quarantine.go
+++ b/quarantine.go
@@ -27,7 +27,7 @@
 	IsQuarantined(fingerprint uint64) bool
 	// IsSuspect reports whether the fingerprint is a suspect or quarantined.
 	IsSuspect(fingerprint uint64) bool
-	// Suspects returns the suspects to send to other daemons, the most recent crash first.
+	// Suspects returns the suspects to send to other daemons, the most important ones first.
 	Suspects() []Suspect
 	// Merge adds the suspects that another daemon reported.
 	Merge(suspects []Suspect)
