upstream: a reset during an upload ends no answer

What callers would see: a part of an early answer without a length, as a complete success.

Cause: the kernel reports a reset once. If the write of the upload takes the error, the read ends as if the upstream had closed the connection.

Fix: at the end of an answer without a length, an empty write asks whether the connection was reset, whichever call has taken the error.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -239,13 +239,17 @@
 	if response.StatusCode < http.StatusOK {
 		return newError("call", KindBadResponse, "unexpected status %d", response.StatusCode)
 	}
-	unbounded := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if unbounded && method != http.MethodHead && u.opts.Dialect == nil {
+	if isUnbounded(response) && method != http.MethodHead && u.opts.Dialect == nil {
 		return newError("call", KindBadResponse, "the response has neither a Content-Length nor chunked encoding")
 	}
 	return nil
 }
 
+// isUnbounded reports whether the response ends when the connection closes.
+func isUnbounded(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // requestBody records whether reading the body of a request failed.
 type requestBody struct {
 	source io.Reader
--- a/internal/upstream/countingconn.go
+++ b/internal/upstream/countingconn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -62,6 +63,24 @@
 	return err == nil && peekErr == syscall.EAGAIN
 }
 
+// wasReset reports whether the connection was reset. A write that takes the error of a reset leaves none for the read,
+// which then ends as if the other side had closed the connection. The empty write asks the kernel without waiting.
+func (w *countingConn) wasReset() bool {
+	conn, ok := w.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var sendErr error
+	err = raw.Control(func(fd uintptr) {
+		_, sendErr = syscall.SendmsgN(int(fd), nil, nil, nil, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL)
+	})
+	return err != nil || errors.Is(sendErr, syscall.EPIPE) || errors.Is(sendErr, syscall.ECONNRESET)
+}
+
 func (u *Upstream) dial(ctx context.Context) (*Connection, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", u.opts.Address)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -147,6 +147,9 @@
 	if err == nil {
 		return n, nil
 	}
+	if errors.Is(err, io.EOF) && isUnbounded(x.response) && x.conn.conn.wasReset() {
+		err = newError("read", KindBroken, "the connection was reset during a response without a length")
+	}
 	if errors.Is(err, io.EOF) {
 		x.result.Trailer = x.response.Trailer
 		x.ended, x.err = true, io.EOF
