upstream: a status outside 100 to 599 is no answer

What callers would see: an answer with the status 000 or 099 counted as interim, and its request waited until the deadline; 600 and 999 were passed on.

Cause: statuses below 200 but 101 are interim, and the parser accepts any three digits.

Fix: such a status fails the call at once.

--- a/internal/upstream/broken_answer_test.go
+++ b/internal/upstream/broken_answer_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cicadacross/internal/failure"
 	"cicadacross/internal/upstream"
 )
 
@@ -99,3 +100,34 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "a whole answer")
 }
+
+// Guards against an answer without a valid status that is passed on, or taken for an interim one, so that the request
+// waits until its deadline.
+func TestAnswerWithoutValidStatusIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{
+		"000", "001", "099", "+99", "-01", "101", "600", "999", "1000", "20", "2 0", "abc", "0x1", "", "200200",
+	} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			u := newRawUpstream(t, func(conn net.Conn, requests *bufio.Reader) {
+				for {
+					request, err := http.ReadRequest(requests)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Trouble\r\nX-Attempt-Id: "+
+						request.Header.Get("X-Attempt-Id")+"\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			got, _, err := send(ctx, u, "a")
+			assert.Assert(t, err != nil, "status %d", got)
+			assert.Assert(t, upstream.MayHaveRun(err))
+			assert.NilError(t, ctx.Err(), "held until the deadline")
+			kind, _ := failure.KindOf[upstream.Kind](err)
+			assert.Assert(t, kind == upstream.KindBadResponse || kind == upstream.KindBroken, "%v", err)
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -117,6 +117,12 @@
 	return c.writer.Flush()
 }
 
+// minStatus and maxStatus are the first and the last status of HTTP.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // readResponse reads the head of the next response, skips interim (1xx) responses and stores the final one in *result.
 // Status 101 counts as final, since no further response follows it.
 func (c *Connection) readResponse(request *http.Request, result **http.Response) error {
@@ -127,6 +133,10 @@
 		if err != nil {
 			return err
 		}
+		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+			return newError("call", KindBadResponse, "got status %q, wanted one from %d to %d", response.Status, minStatus,
+				maxStatus)
+		}
 		interim := response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols
 		if interim {
 			_ = response.Body.Close()
