relay: requests that wait for a leaving upstream move in time

What callers saw: lookups that waited for a slot of a slow, draining upstream reached it 2.6 to 2.9 s after it had reported that (allowed: 2.5 s) and were lost when it exited.

Fix: the daemon knows how long a leaving upstream serves, refuses waiting requests in time for them to end there, and those that must not repeat at once. The refusals are not-run, so they are sent to another upstream.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -110,7 +110,8 @@
 func (r *registryControl) SetDraining(draining bool) { r.draining.Store(draining) }
 
 // onRegistryApply is called by the control goroutine before next becomes the current configuration.
-func (d *Daemon) onRegistryApply(_, next *cicadacross.Configuration) {
+func (d *Daemon) onRegistryApply(previous, next *cicadacross.Configuration) {
+	d.owner.ObserveTarget(previous, next)
 	if target, ok := next.TargetOn(d.settings.Host); ok && target.Service() == d.settings.Service {
 		d.resize(target)
 		d.configureWarmup(target)
@@ -160,6 +161,7 @@
 			Mbps: d.settings.LinkMbps, Timers: d.timers, Lag: d.lagMeter.Lag,
 		}),
 		DrainLimit: d.drainLimit, CallGuard: callGuard, Quota: d.quota, ArrivingShare: d.settings.BodySlotShare,
+		UpstreamDrain: d.settings.UpstreamDrain,
 	})
 	d.relayClient = relay.NewClient(relay.ClientOptions{
 		Pool: d.pool, Host: d.settings.Host, Local: d.owner, Timers: d.timers,
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -42,6 +42,7 @@
 	MemoryLimit    float64 // in MiB; 0 means no limit
 	LinkMbps       float64 // in Mbit/s; 0 means unknown
 	Grace          time.Duration
+	UpstreamDrain  time.Duration // 0 means unknown
 	RetryRatio     float64
 	RetryExtra     float64
 	RetryWindow    time.Duration
@@ -139,6 +140,8 @@
 		floatFlag("memory-limit", "memory in MiB that the process may use; 0 means no limit", 0, &s.MemoryLimit),
 		floatFlag("link-mbps", "link speed of this host in Mbit/s; daemons with faster links watch the registry", 0,
 			&s.LinkMbps),
+		durationFlag("upstream-drain", "how long the upstream serves after it has registered as draining or has left the "+
+			"registry; 0 means unknown; only with registry", defaults.UpstreamDrain, &s.UpstreamDrain),
 		durationFlag("grace", "time from SIGTERM until the process must exit; only with registry", defaults.Grace, &s.Grace),
 		floatFlag("retry-ratio", "retries that the fleet may send per request of a service", defaults.RetryRatio,
 			&s.RetryRatio),
@@ -295,6 +298,9 @@
 	v.checkFloatRange("memory-limit", s.MemoryLimit, maxMemoryLimit)
 	v.checkFloatRange("link-mbps", s.LinkMbps, maxLinkMbps)
 	v.checkFloatRange("retry-extra", s.RetryExtra, maxRetryExtra)
+	if s.UpstreamDrain < 0 {
+		v.addError("upstream-drain", "%s is below 0", s.UpstreamDrain)
+	}
 	if s.Grace < minGrace {
 		v.addError("grace", "%s is below %s", s.Grace, minGrace)
 	}
--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -50,7 +50,7 @@
 		"health-path": "health", "seeds": "nowhere", "fleet-key": "short", "admission": "lifo", "balancer": "random",
 		"readers": "none", "log-level": "loud", "max-queue": "0", "decision-lines": "-1", "repeat-window": "1ms",
 		"drain-limit": "-1s", "registry": "nowhere", "registry-format": " kv", "service": " s", "listen-ready": "h1:1",
-		"memory-limit": "-1", "grace": "1ms", "retry-ratio": "-1", "retry-extra": "-1", "retry-window": "1ms",
+		"memory-limit": "-1", "grace": "1ms", "upstream-drain": "-1s", "retry-ratio": "-1", "retry-extra": "-1", "retry-window": "1ms",
 		"zone-regions": `{"a":1}`, "warmup-overshoot": "-1", "warmup-slack": "-1",
 		"zone-transfer-delay": "-1s",
 		"link-mbps":           "-1", "caller-memory": "-1", "max-connections": "-1", "stall-timeout": "1ms",
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -217,6 +217,8 @@
 	ownersAgree *atomic.Bool
 	// admission replaces the admission policy of the first host.
 	admission cicadacross.Admission
+	// upstreamDrain is how long upstreams serve after they have reported that they leave.
+	upstreamDrain time.Duration
 	// stallTimeout, quota and maxConnections limit the callers of each host.
 	stallTimeout   time.Duration
 	quota          *quota.Account
@@ -292,7 +294,7 @@
 	n.owner = relay.NewOwner(relay.OwnerOptions{
 		Host: n.host, Configuration: configuration, KeyOwner: ownerOf, Admission: admission,
 		KeyStore: &memoryKeyStore{records: make(map[string]*keyExecution)}, Quarantine: n.quarantine, Upstream: n.transport,
-		Timers: clock, Decisions: discardDecisions{}, Classify: classify,
+		Timers: clock, Decisions: discardDecisions{}, Classify: classify, UpstreamDrain: opts.upstreamDrain,
 	})
 	n.grpcServer = peer.NewServer(fleetKey)
 	peerpb.RegisterRelayServer(n.grpcServer, n.owner)
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -44,9 +44,10 @@
 }
 
 // cancelReason returns the kind of refusal of a request whose wait was canceled: by the sender, or because the daemon
-// stops, in which case another target may run it.
+// stops or the target leaves, in which case another target may run it.
 func (e *execution) cancelReason() string {
-	if e.session.Context().Err() == nil && e.owner.opts.DrainLimit.Shortens(e.deadline) {
+	stops := e.owner.opts.DrainLimit.Shortens(e.deadline) || e.departure.limit.Begun().Err() != nil
+	if e.session.Context().Err() == nil && stops {
 		return RefusalDraining
 	}
 	return RefusalCanceled
--- a/internal/relay/execution.go
+++ b/internal/relay/execution.go
@@ -30,6 +30,7 @@
 	key      cicadacross.KeyExecution // nil for repeatable requests, without KeyStore, and until the key is claimed
 	// release returns the slot and leaves the quarantine; nil before both are acquired. Only its first call has an effect.
 	release    func(answered bool)
+	departure  *departure
 	preempted  atomic.Bool
 	senderGone bool      // the ingress daemon is disconnected; nothing more is sent to it
 	calledAt   time.Time // when the call of the upstream began
@@ -42,7 +43,9 @@
 	if o.opts.PauseDetector != nil {
 		timeout -= o.opts.PauseDetector.TimeLost()
 	}
-	return &execution{owner: o, session: s, head: head, deadline: o.opts.Timers.Now().Add(timeout)}
+	return &execution{
+		owner: o, session: s, head: head, deadline: o.opts.Timers.Now().Add(timeout), departure: o.departure.Load(),
+	}
 }
 
 func (e *execution) serve() error {
@@ -56,6 +59,7 @@
 	waitCtx, cancelWait := context.WithTimeout(ctx, e.waitLimit(timeout))
 	defer cancelWait()
 	defer e.owner.opts.DrainLimit.CancelWhenTooLate(waitCtx, e.work, cancelWait)()
+	defer e.departure.limit.CancelWhenTooLate(waitCtx, e.departureWork, cancelWait)()
 	if !e.head.GetRepeatable() && e.owner.opts.KeyStore != nil {
 		answered, err := e.claimKey(waitCtx)
 		if answered || err != nil {
@@ -371,8 +375,9 @@
 		return refusal(RefusalCanceled, "the request was canceled before the call")
 	case e.owner.isEvacuated():
 		return refuseEvacuated()
-	case e.owner.RefusesNewRequests() && !e.head.GetRepeatable():
-		// Repeatable requests that waited for a slot still run here: at another target they would have to wait again.
+	case e.owner.RefusesNewRequests() && (!e.head.GetRepeatable() || e.isTooLateForDeparture()):
+		// Repeatable requests that waited for a slot still run here as long as the upstream serves: at another target they
+		// would have to wait again.
 		return refusal(RefusalDraining, "the target began to drain")
 	}
 	return nil
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -42,6 +43,9 @@
 	Quarantine cicadacross.Quarantine
 	// DrainLimit limits the time of requests once the daemon stops; nil means no limit.
 	DrainLimit *drain.Limit
+	// UpstreamDrain is how long the upstream serves after it has reported that it leaves; 0 means unknown, so that
+	// requests which wait for it then are not limited.
+	UpstreamDrain time.Duration
 	// Quota limits the memory that is used for requests; nil means no limit.
 	Quota *quota.Account
 	// ArrivingShare is the share of the slots for requests whose body is still arriving from the caller, at least one
@@ -69,6 +73,8 @@
 	callDetector UpstreamCallDetector
 	// serviceTimes holds the times from the call of the upstream to the end of its response.
 	serviceTimes drain.ServiceTimes
+	// departure is replaced when another target serves on this host.
+	departure atomic.Pointer[departure]
 
 	mu              sync.Mutex
 	draining        bool // set by Drain
@@ -80,7 +86,9 @@
 
 // NewOwner returns an owner. Register it with a grpc server, and pass it to the Client of the same daemon.
 func NewOwner(opts OwnerOptions) *Owner {
-	return &Owner{opts: opts, drained: make(chan struct{})}
+	o := &Owner{opts: opts, drained: make(chan struct{})}
+	o.departure.Store(o.newDeparture())
+	return o
 }
 
 // session is the owner side of the stream of one request: a grpc stream or its in-process counterpart.
