--- a/internal/ingress/departure_test.go
+++ b/internal/ingress/departure_test.go
@@ -10,8 +10,8 @@
 	standin "cicadacross/internal/standin/upstream"
 )
 
-// Guards against requests that wait for a slot of an upstream that leaves, and reach it when it has ended or is about to
-// (review/10): their callers lost them. Others that must not repeat are sent elsewhere at once.
+// Guards against requests that wait for a slot of an upstream that leaves, and reach it when it has ended or is about
+// to (review/10): their callers lost them. Others that must not repeat are sent elsewhere at once.
 func TestWaitingRequestsMoveFromALeavingUpstream(t *testing.T) {
 	const drain, slow = 2 * time.Second, 1500 * time.Millisecond
 	f := newFleet(t, fleetOptions{slots: 1, upstreamDrain: drain, behavior: standin.Behavior{
--- a/internal/ingress/owner_test.go
+++ b/internal/ingress/owner_test.go
@@ -101,8 +101,8 @@
 	assert.Equal(t, next.Executions().ByPath["/pages/crash"], 0)
 }
 
-// Guards against an ingress daemon that sends a quarantined request to the next target, although the refusal of the first
-// owner shows that it crashes upstreams.
+// Guards against an ingress daemon that sends a quarantined request to the next target, although the refusal of the
+// first owner shows that it crashes upstreams.
 func TestRefusalInformsOfQuarantinedRequests(t *testing.T) {
 	f := newFleet(t, fleetOptions{})
 	informed := f.nodes[0].quarantine
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -362,8 +362,8 @@
 	return t.entry(fingerprint, t.opts.Timers.Now()) != nil
 }
 
-// Suspects implements cicadacross.Quarantine. It returns at most MaxSuspects, the quarantined ones first, so that a crash
-// with many requests in progress doesn't keep others from learning of them.
+// Suspects implements cicadacross.Quarantine. It returns at most MaxSuspects, the quarantined ones first, so that a
+// crash with many requests in progress doesn't keep others from learning of them.
 func (t *Tracker) Suspects() []cicadacross.Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/relay/arriving.go
+++ b/internal/relay/arriving.go
@@ -45,8 +45,8 @@
 	return e.owner.opts.Dialect != nil && !e.head.GetComplete() && (length < 0 || length > maxKeptBody)
 }
 
-// FieldMemory is the memory of a header field besides its name and value, in bytes: its entries in the header maps of the
-// ingress and the owner, and the message between them.
+// FieldMemory is the memory of a header field besides its name and value, in bytes: its entries in the header maps of
+// the ingress and the owner, and the message between them.
 const FieldMemory = 400
 
 // headSize returns the approximate size of the first message of the request, in bytes.
--- a/internal/relay/departure.go
+++ b/internal/relay/departure.go
@@ -12,8 +12,8 @@
 // time for a call to arrive at the upstream.
 const departureMargin = 500 * time.Millisecond
 
-// departure limits the requests that wait for the upstream of this host once it leaves: it serves for some time after it
-// has reported that, and then exits.
+// departure limits the requests that wait for the upstream of this host once it leaves: it serves for some time after
+// it has reported that, and then exits.
 type departure struct {
 	limit *drain.Limit
 	// target is the name of the target that leaves; nil until it does.
--- a/internal/roster/error.go
+++ b/internal/roster/error.go
@@ -24,6 +24,7 @@
 	return failure.New(op, kind, format, args...)
 }
 
-func wrapError(op string, kind Kind, cause error, format string, args ...any) error {
-	return failure.Wrap(op, kind, cause, format, args...)
+// wrapPeerError returns an error of KindPeer.
+func wrapPeerError(op string, cause error, format string, args ...any) error {
+	return failure.Wrap(op, KindPeer, cause, format, args...)
 }
--- a/internal/roster/follow.go
+++ b/internal/roster/follow.go
@@ -154,7 +154,7 @@
 	}
 	stream, err := peerpb.NewReplicationClient(conn).Follow(ctx, request)
 	if err != nil {
-		return wrapError("follow", KindPeer, err, "host %s", s.host)
+		return wrapPeerError("follow", err, "host %s", s.host)
 	}
 	watchdog := &idleWatchdog{timers: d.opts.Timers, cancel: s.cancel, frames: make(chan struct{}, 1)}
 	d.goroutines.Add(1)
@@ -162,7 +162,7 @@
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
-			return wrapError("follow", KindPeer, err, "host %s", s.host)
+			return wrapPeerError("follow", err, "host %s", s.host)
 		}
 		watchdog.frameReceived()
 		s.manager.window.recordFrame(s.host, d.opts.Timers.Now())
--- a/internal/roster/handover_test.go
+++ b/internal/roster/handover_test.go
@@ -182,8 +182,8 @@
 	return nil
 }
 
-// Guards against a daemon that uses a removed target again because another one, which hasn't learned of the removal yet,
-// sends an older record of it.
+// Guards against a daemon that uses a removed target again because another one, which hasn't learned of the removal
+// yet, sends an older record of it.
 func TestOlderRecordOfAnotherDaemonIsIgnored(t *testing.T) {
 	store := standin.NewStore()
 	defer store.Close()
@@ -210,8 +210,8 @@
 	assert.Assert(t, !used)
 }
 
-// Guards against a daemon that starts right after a restoration of the registry and doesn't know of the evacuations that
-// the copy lacks, while the others keep them until the operator writes them again.
+// Guards against a daemon that starts right after a restoration of the registry and doesn't know of the evacuations
+// that the copy lacks, while the others keep them until the operator writes them again.
 func TestStartedDaemonLearnsOfEvacuationsInTheirGracePeriod(t *testing.T) {
 	const key = "op/evacuate/z1"
 	store := newStoreWithEras(t)
@@ -235,8 +235,8 @@
 	poll.WaitOn(t, started.evacuates(), pollFor(applyLimit))
 }
 
-// Guards against a daemon that starts right after an outage of the registry and doesn't use live upstreams whose records
-// expired during the outage, which the others use until they are registered again.
+// Guards against a daemon that starts right after an outage of the registry and doesn't use live upstreams whose
+// records expired during the outage, which the others use until they are registered again.
 func TestStartedDaemonUsesUpstreamsInTheirGracePeriod(t *testing.T) {
 	store := standin.NewStore()
 	defer store.Close()
--- a/internal/roster/outage_test.go
+++ b/internal/roster/outage_test.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// Guards against a daemon that was a reader for a while, has a watch from then that is never answered, and doesn't notice
-// it when it becomes the reader again.
+// Guards against a daemon that was a reader for a while, has a watch from then that is never answered, and doesn't
+// notice it when it becomes the reader again.
 func TestWatchFromAnEarlierElectionIsReplaced(t *testing.T) {
 	t.Parallel()
 	store := standin.NewStore()
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -258,7 +258,7 @@
 		}
 		var err error
 		if value, err = pack.Decompress(value, dictionary); err != nil {
-			return cicadacross.Record{}, wrapError("decode", KindPeer, err, "record %q", r.GetKey())
+			return cicadacross.Record{}, wrapPeerError("decode", err, "record %q", r.GetKey())
 		}
 	}
 	return cicadacross.Record{
--- a/internal/roster/reader.go
+++ b/internal/roster/reader.go
@@ -257,7 +257,8 @@
 	return ended.interrupted
 }
 
-// pendingSince returns the time at which the pending call began; ok is false when there is none that can be interrupted.
+// pendingSince returns the time at which the pending call began; ok is false when there is none that can be
+// interrupted.
 func (r *reader) pendingSince() (began time.Time, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -185,10 +185,10 @@
 	return true
 }
 
-// isKnownRemoved reports whether a record without an entry has been removed meanwhile: the replica, which is complete up
-// to a later position, doesn't have it. The daemon that sent it hasn't learned of the removal yet. Only a routing may be
-// known to other daemons alone, since they keep one that a restored registry lacks, and a removed record in its grace
-// period.
+// isKnownRemoved reports whether a record without an entry has been removed meanwhile: the replica, which is complete
+// up to a later position, doesn't have it. The daemon that sent it hasn't learned of the removal yet. Only a routing
+// may be known to other daemons alone, since they keep one that a restored registry lacks, and a removed record in its
+// grace period.
 func (r *replica) isKnownRemoved(record cicadacross.Record, details recordDetails) bool {
 	return record.Position.Era() == r.position.Era() && !r.position.Before(record.Position) &&
 		record.Key != r.opts.Format.RoutingKey() && details.grace <= 0
--- a/internal/roster/suspects.go
+++ b/internal/roster/suspects.go
@@ -30,9 +30,9 @@
 	pauseThreshold = 2 * time.Second
 )
 
-// suspectExchange brings the suspects, the requests that were in progress at a crash of an upstream, to all daemons. The
-// daemon of the upstream announces them until each other daemon has acknowledged them. A daemon that starts, or that was
-// paused or cut off, asks a few others for the suspects that it missed.
+// suspectExchange brings the suspects, the requests that were in progress at a crash of an upstream, to all daemons.
+// The daemon of the upstream announces them until each other daemon has acknowledged them. A daemon that starts, or
+// that was paused or cut off, asks a few others for the suspects that it missed.
 type suspectExchange struct {
 	roster *Roster
 	// announced receives a value when an upstream crashed, results the results of calls.
@@ -45,8 +45,8 @@
 	// holds the hosts that are being called.
 	announceAt map[string]time.Time
 	calling    map[string]bool
-	// missing is the number of daemons from which suspects are still to be obtained, callsLeft the number of calls that may
-	// be made for that, and asked the hosts that were called.
+	// missing is the number of daemons from which suspects are still to be obtained, callsLeft the number of calls that
+	// may be made for that, and asked the hosts that were called.
 	missing   int
 	callsLeft int
 	asked     map[string]bool
@@ -126,8 +126,8 @@
 	}
 }
 
-// checkWhetherMissed asks for suspects if this daemon may have missed announcements: it has just started, was paused, or
-// had no recent confirmation of the records from any daemon or the registry.
+// checkWhetherMissed asks for suspects if this daemon may have missed announcements: it has just started, was paused,
+// or had no recent confirmation of the records from any daemon or the registry.
 func (x *suspectExchange) checkWhetherMissed(now time.Time, wasPaused bool) {
 	d := x.roster
 	isLost := now.Sub(d.state.Load().confirmedAt) >= fallbackThreshold
@@ -163,46 +163,52 @@
 // call starts the calls that are due.
 func (x *suspectExchange) call(ctx context.Context) {
 	x.pendingHosts.Update(int64(len(x.announceAt)))
-	if len(x.announceAt) == 0 && (x.missing <= 0 || x.callsLeft <= 0) {
+	if len(x.announceAt) == 0 && !x.mayAsk() {
 		return
 	}
 	suspects := peer.EncodeSuspects(x.roster.opts.Quarantine)
 	if len(suspects) == 0 {
 		clear(x.announceAt)
 	}
-	now := x.roster.opts.Timers.Now()
 	hosts := x.otherHosts()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] }) // #nosec G404 -- no secret
-	asking := 0
-	for host := range x.calling {
-		if x.asked[host] {
-			asking++
-		}
-	}
 	for _, host := range hosts {
-		if x.calling[host] {
+		if x.calling[host] || !x.isAnnouncementDue(host) && !x.ask(host) {
 			continue
 		}
-		at, announce := x.announceAt[host]
-		announce = announce && !now.Before(at)
-		ask := x.callsLeft > 0 && asking < x.missing && !x.asked[host]
-		if !announce && !ask {
-			continue
-		}
-		if ask {
-			x.asked[host] = true
-			x.callsLeft--
-			asking++
-		}
 		x.calling[host] = true
 		x.roster.goroutines.Add(1)
 		c := &suspectCall{exchange: x, host: host, request: &peerpb.WarnRequest{Suspects: suspects}}
 		go c.run(ctx)
 	}
-	isAsked := func(host string) bool { return x.asked[host] && !x.calling[host] }
-	x.allAsked = !slices.ContainsFunc(hosts, func(host string) bool { return !isAsked(host) })
+	x.allAsked = !slices.ContainsFunc(hosts, func(host string) bool { return !x.asked[host] || x.calling[host] })
+}
+
+func (x *suspectExchange) mayAsk() bool { return x.missing > 0 && x.callsLeft > 0 }
+
+func (x *suspectExchange) isAnnouncementDue(host string) bool {
+	at, pending := x.announceAt[host]
+	return pending && !x.roster.opts.Timers.Now().Before(at)
+}
+
+// ask reports whether the host must be asked for suspects, and counts the call. As many hosts are asked at a time as
+// are still missing.
+func (x *suspectExchange) ask(host string) bool {
+	inProgress := 0
+	for other := range x.calling {
+		if x.asked[other] {
+			inProgress++
+		}
+	}
+	if !x.mayAsk() || inProgress >= x.missing || x.asked[host] {
+		return false
+	}
+	x.asked[host] = true
+	x.callsLeft--
+	return true
 }
 
+// handleResult ends the call to a host.
 func (x *suspectExchange) handleResult(result suspectResult) {
 	delete(x.calling, result.host)
 	if result.err != nil {
@@ -248,7 +254,7 @@
 	}
 	reply, err := peerpb.NewReplicationClient(conn).Warn(ctx, c.request)
 	if err != nil {
-		return false, wrapError("warn", KindPeer, err, "host %s", c.host)
+		return false, wrapPeerError("warn", err, "host %s", c.host)
 	}
 	suspects, err := peer.DecodeSuspects(reply.GetSuspects())
 	if err != nil {
--- a/internal/roster/suspects_test.go
+++ b/internal/roster/suspects_test.go
@@ -139,8 +139,8 @@
 	t.Cleanup(n.server.Stop)
 }
 
-// Guards against a daemon that was cut off from the registry and all others during a crash, and doesn't learn of it when
-// those that announced it have stopped.
+// Guards against a daemon that was cut off from the registry and all others during a crash, and doesn't learn of it
+// when those that announced it have stopped.
 func TestDaemonThatWasCutOffAsksForSuspects(t *testing.T) {
 	store, registry := standin.NewStore(), standin.NewStore()
 	defer store.Close()
--- a/internal/upstream/broken_answer_test.go
+++ b/internal/upstream/broken_answer_test.go
@@ -27,8 +27,8 @@
 	return len(p), nil
 }
 
-// upload sends an upload whose body arrives while the response is read. It returns the body of the response and the error
-// of the read. The body is read late, so that parts of the upload are written after the connection was reset.
+// upload sends an upload whose body arrives while the response is read. It returns the body of the response and the
+// error of the read. The body is read late, so that parts of the upload are written after the connection was reset.
 func upload(ctx context.Context, u *upstream.Upstream, delay time.Duration) (string, error) {
 	conn, err := u.Connect(ctx, "a")
 	if err != nil {
