upstream: paths arrive as callers sent them

Cause: net/http encodes a path anew if it has a character that must be encoded, and loses the encoding of the others.

Fix: path and query are passed to it as an opaque URL, which it writes as it is.

Evidence: TestPathArrivesUnchanged failed before.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -196,6 +196,10 @@
 		return nil, nil, wrapError("call", KindBadCall, err, "invalid path")
 	}
 	target.Scheme, target.Host = "http", address
+	if !strings.HasPrefix(call.Path, "//") {
+		// net/http writes an opaque URL as it is. It would encode a path anew that has a character which must be encoded.
+		target.Opaque, target.RawQuery, target.ForceQuery = call.Path, "", false
+	}
 	header := call.Header
 	if header == nil {
 		header = make(http.Header)
