relay: header values need not be UTF-8

Cause: header values were strings of protobuf messages, which must be UTF-8.

Fix: other values are sent as bytes.

Evidence: TestHeaderValuesNeedNotBeUTF8 failed before, 503 instead of 200.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -365,7 +365,7 @@
 		_ = http.NewResponseController(a.w).Flush()
 	}
 	for _, h := range end.GetTrailers() {
-		a.w.Header().Add(http.TrailerPrefix+h.GetName(), h.GetValue())
+		a.w.Header().Add(http.TrailerPrefix+h.GetName(), relay.HeaderValue(h))
 	}
 	a.recordServiceTime()
 	a.server.transferSizes.record(a.req.route.Name(), max(0, a.req.body.length)+a.bodySize)
--- a/internal/relay/arriving.go
+++ b/internal/relay/arriving.go
@@ -53,7 +53,7 @@
 func (e *execution) headSize() int64 {
 	size := len(e.head.GetBody()) + len(e.head.GetPath())
 	for _, h := range e.head.GetHeaders() {
-		size += FieldMemory + len(h.GetName()) + len(h.GetValue())
+		size += FieldMemory + len(h.GetName()) + len(h.GetValue()) + len(h.GetRawValue())
 	}
 	return int64(size)
 }
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"strings"
+	"unicode/utf8"
 
 	"cicadacross/internal/peerpb"
 )
@@ -44,13 +45,32 @@
 			} else {
 				h = new(peerpb.Header)
 			}
-			h.Name, h.Value = name, value
+			h.Name = name
+			setHeaderValue(h, value)
 			list = append(list, h)
 		}
 	}
 	return list
 }
 
+// setHeaderValue sets the value of a header in a message between daemons. HTTP allows any bytes above 0x7f in it, which
+// strings in messages don't.
+func setHeaderValue(h *peerpb.Header, value string) {
+	if utf8.ValidString(value) {
+		h.Value = value
+		return
+	}
+	h.RawValue = []byte(value)
+}
+
+// HeaderValue returns the value of a header in a message between daemons.
+func HeaderValue(h *peerpb.Header) string {
+	if len(h.GetRawValue()) > 0 {
+		return string(h.GetRawValue())
+	}
+	return h.GetValue()
+}
+
 // RemoveConnectionHeaders removes the headers that concern only the connection to the sender: the hop-by-hop headers
 // and those that the sender lists in its Connection header, which has no effect on headers that are set afterwards.
 func RemoveConnectionHeaders(header http.Header) {
@@ -85,10 +105,10 @@
 	values := make([]string, len(list))
 	for i, h := range list {
 		if earlier, ok := header[h.GetName()]; ok {
-			header[h.GetName()] = append(earlier, h.GetValue())
+			header[h.GetName()] = append(earlier, HeaderValue(h))
 			continue
 		}
-		values[i] = h.GetValue()
+		values[i] = HeaderValue(h)
 		header[h.GetName()] = values[i : i+1 : i+1]
 	}
 }
