roster: a crash during an announcement is announced

What callers would see: a quarantined request that some daemon still sends on, if an upstream crashed twice within one call between daemons.

Cause: the acknowledgement of the first crash also ended the announcement of the second.

Fix: an acknowledgement counts for the crashes that its call has announced.

TestCrashDuringAnAnnouncementIsAnnounced failed before.

--- a/internal/roster/suspects.go
+++ b/internal/roster/suspects.go
@@ -41,6 +41,8 @@
 
 	// The goroutine run alone uses the following fields.
 
+	// crashes is the number of crashes that were announced.
+	crashes int
 	// announceAt holds the time of the next announcement to each host that hasn't acknowledged the last crash. calling
 	// holds the hosts that are being called.
 	announceAt map[string]time.Time
@@ -63,7 +65,9 @@
 
 // suspectResult is the result of a call that exchanged suspects with a host.
 type suspectResult struct {
-	host     string
+	host string
+	// crashes is the number of crashes that were announced when the call began.
+	crashes  int
 	informed bool
 	err      error
 }
@@ -121,6 +125,7 @@
 // announceToAll makes all other daemons due for an announcement.
 func (x *suspectExchange) announceToAll() {
 	now := x.roster.opts.Timers.Now()
+	x.crashes++
 	for _, host := range x.otherHosts() {
 		x.announceAt[host] = now
 	}
@@ -178,7 +183,9 @@
 		}
 		x.calling[host] = true
 		x.roster.goroutines.Add(1)
-		c := &suspectCall{exchange: x, host: host, request: &peerpb.WarnRequest{Suspects: suspects}}
+		c := &suspectCall{
+			exchange: x, host: host, crashes: x.crashes, request: &peerpb.WarnRequest{Suspects: suspects},
+		}
 		go c.run(ctx)
 	}
 	x.allAsked = !slices.ContainsFunc(hosts, func(host string) bool { return !x.asked[host] || x.calling[host] })
@@ -220,7 +227,9 @@
 		}
 		return
 	}
-	delete(x.announceAt, result.host)
+	if result.crashes == x.crashes {
+		delete(x.announceAt, result.host)
+	}
 	if x.asked[result.host] && result.informed {
 		x.missing--
 	}
@@ -230,6 +239,7 @@
 type suspectCall struct {
 	exchange *suspectExchange
 	host     string
+	crashes  int
 	request  *peerpb.WarnRequest
 }
 
@@ -238,7 +248,7 @@
 	defer d.goroutines.Done()
 	informed, err := c.send(ctx)
 	select {
-	case c.exchange.results <- suspectResult{host: c.host, informed: informed, err: err}:
+	case c.exchange.results <- suspectResult{host: c.host, crashes: c.crashes, informed: informed, err: err}:
 	case <-ctx.Done():
 	}
 }
--- a/internal/roster/suspects_test.go
+++ b/internal/roster/suspects_test.go
@@ -13,6 +13,7 @@
 
 	"cicadacross"
 	"cicadacross/internal/peer"
+	"cicadacross/internal/peerpb"
 	"cicadacross/internal/quarantine"
 	"cicadacross/internal/roster"
 	"cicadacross/internal/timer"
@@ -190,3 +191,44 @@
 	timers.offset.Store(int64(5 * time.Second))
 	poll.WaitOn(t, paused.hasQuarantined, pollFor(informLimit))
 }
+
+// slowDaemon is a daemon that takes a while to acknowledge suspects. It sends the crashes of each to received.
+type slowDaemon struct {
+	peerpb.UnimplementedReplicationServer
+	received chan uint32
+}
+
+func (s *slowDaemon) Warn(_ context.Context, request *peerpb.WarnRequest) (*peerpb.WarnReply, error) {
+	for _, suspect := range request.GetSuspects() {
+		s.received <- suspect.GetCrashes()
+	}
+	time.Sleep(500 * time.Millisecond)
+	return &peerpb.WarnReply{Informed: true}, nil
+}
+
+// Guards against a second crash that isn't announced to a daemon which is just acknowledging the first.
+func TestCrashDuringAnAnnouncementIsAnnounced(t *testing.T) {
+	store := standin.NewStore()
+	defer store.Close()
+	publishFleet(store)
+	port := freePort(t)
+	slow := &slowDaemon{received: make(chan uint32, 100)}
+	server := peer.NewServer(fleetKey)
+	peerpb.RegisterReplicationServer(server, slow)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", port))
+	assert.NilError(t, err)
+	go serve(server, listener)
+	defer server.Stop()
+	n := startQuarantineNode(t, 1, port, store, timer.System{})
+	poll.WaitOn(t, n.hasVersion(3, 2), pollFor(applyLimit))
+	time.Sleep(1500 * time.Millisecond) // it has asked the other daemon for suspects
+	n.crash(t)
+	assert.Equal(t, <-slow.received, uint32(1))
+	n.crash(t)
+	select {
+	case crashes := <-slow.received:
+		assert.Equal(t, crashes, uint32(2))
+	case <-time.After(informLimit):
+		t.Fatal("the second crash was not announced")
+	}
+}
