--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against bytes without end from another daemon, or from another program at its address, that fill the memory of
-// a daemon or keep its calls waiting although they can be told from a reply.
+// a daemon or keep its calls waiting although they can be distinguished from a reply.
 func TestBytesWithoutEndAreNoReply(t *testing.T) {
 	// literalField is a header field of HPACK that isn't indexed: a name of one byte and a value of 100 bytes.
 	literalField := "\x00\x01x\x64" + strings.Repeat("y", 100)
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -73,7 +73,7 @@
 	callDetector UpstreamCallDetector
 	// serviceTimes holds the times from the call of the upstream to the end of its response.
 	serviceTimes drain.ServiceTimes
-	// running is the number of calls of the upstream in progress, repeated that of those which a request has made before.
+	// running is the number of calls of the upstream in progress, repeated that of the repeated ones among them.
 	running, repeated atomic.Int64
 	// departure is replaced when another target serves on this host.
 	departure atomic.Pointer[departure]
