--- a/review/14/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # 0 if it held and 2 if the case couldn't run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/rig ] && [ -x target/cicadacrossd ] || { echo "build first"; exit 2; }
-exec target/review-3/rig drain review/14
+exec target/review-3/rig poison-path review/11
