--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -15,6 +15,9 @@
 // cases maps the name of a case to its function, which returns whether the rule held. trouble is false when the
 // disruption is left out.
 var cases = map[string]func(rec *record, trouble bool) (held bool, err error){
+	"path":          pathPlay,
+	"born":          bornPlay,
+	"herd":          herdPlay,
 	"ghost":         ghostCase,
 	"crowd":         crowdCase,
 	"drain":         drainCase,
--- a/review/rig-3/upstream.go
+++ b/review/rig-3/upstream.go
@@ -36,6 +36,7 @@
 	id   string
 	at   time.Time
 	path string
+	uri  string
 }
 
 func newUpstream(rec *record, id, service, address string, slots, queue int) (*upstream, error) {
@@ -125,7 +126,7 @@
 	defer u.giveBack()
 	work, _ := time.ParseDuration(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
 	u.mu.Lock()
-	u.runs = append(u.runs, run{id: id, at: time.Now(), path: r.URL.Path})
+	u.runs = append(u.runs, run{id: id, at: time.Now(), path: r.URL.Path, uri: r.RequestURI})
 	u.mu.Unlock()
 	u.record.log("run", "id", id, "target", u.id, "caller_service", r.Header.Get("X-Caller-Service"))
 	if strings.HasSuffix(r.URL.Path, "/poison") {
